--- /dev/null
+++ b/balancer/src/config.rs
@@ -0,0 +1,173 @@
+//! The one place where the environment and the configuration file are read, checked and given defaults.
+
+use crate::upstream_group::HostList;
+use finchyard::Settings;
+use finchyard_settings::{Names, Setup, Transport, key_of};
+use serde::Deserialize;
+use serde_json::Value;
+use std::fmt;
+use std::net::SocketAddr;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Descriptors and memory where the configuration names no limits.
+const SOCKETS_DEFAULT: usize = 1024;
+const MEMORY_DEFAULT: usize = 192;
+/// With fewer descriptors there is no room for clients, peers and the rest.
+const SOCKETS_LEAST: usize = 64;
+
+/// What the program is told at its start.
+#[derive(Debug)]
+pub struct Config {
+    /// The balancer's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// For the module's random numbers.
+    pub seed: u64,
+    /// File descriptors the process may hold.
+    pub sockets: usize,
+    /// Memory the process may use, in bytes.
+    pub memory: usize,
+    /// The list as this balancer last had it.
+    pub known: Option<HostList>,
+    /// What the module is told.
+    pub settings: Settings,
+    /// The names in messages.
+    pub names: Names,
+    /// What the network side needs of the settings.
+    pub transport: Transport,
+}
+
+/// An unusable configuration: which key, and what is wrong with it.
+#[derive(Debug, PartialEq, Eq)]
+pub struct ConfigError {
+    key: String,
+    problem: String,
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "configuration: {}: {}", self.key, self.problem)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+fn wrong(key: &str, problem: impl fmt::Display) -> ConfigError {
+    ConfigError { key: key.into(), problem: problem.to_string() }
+}
+
+#[derive(Deserialize)]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    #[serde(default)]
+    seed: Value,
+    #[serde(default)]
+    limits: FileLimits,
+    known: Option<HostList>,
+    settings: Setup,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct FileLimits {
+    memory_mb: Option<f64>,
+    sockets: Option<f64>,
+}
+
+impl Config {
+    /// Reads `GW_CONFIG` and the file it names; `GW_NAME`, `GW_LISTEN` and `GW_DISCOVERY` go before the file.
+    pub fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+        let path = variable("GW_CONFIG").ok_or_else(|| wrong("GW_CONFIG", "is not set"))?;
+        let text = std::fs::read_to_string(&path).map_err(|e| wrong("GW_CONFIG", format!("{path}: {e}")))?;
+        Config::parse(&text, variable)
+    }
+
+    fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+        let mut json = serde_json::Deserializer::from_str(text);
+        let file: File = serde_path_to_error::deserialize(&mut json)
+            .map_err(|e| wrong(&e.path().to_string(), e.inner()))?;
+        json.end().map_err(|e| wrong("GW_CONFIG", e))?;
+        let address = |name: &str, key: &str, in_file: Option<String>| {
+            let (key, text) = match variable(name) {
+                Some(text) => (name, text),
+                None => {
+                    (key, in_file.ok_or_else(|| wrong(key, format!("is missing, and {name} is not set")))?)
+                }
+            };
+            text.parse().map_err(|_| wrong(key, format!("\"{text}\" is no address with a port")))
+        };
+        let (settings, names, transport) = file.settings.translate().map_err(|e| wrong("settings", e))?;
+        settings.check().map_err(|e| wrong(&format!("settings.{}", key_of(&e)), e.problem))?;
+        let figure = |key: &str, value: Option<f64>, default: usize, least: usize| match value {
+            None => Ok(default),
+            Some(v) if v >= least as f64 => Ok(v as usize),
+            Some(v) => Err(wrong(key, format!("{v} is too little, {least} is the least"))),
+        };
+        Ok(Config {
+            name: variable("GW_NAME").or(file.name).unwrap_or_else(|| "balancer".into()),
+            listen: address("GW_LISTEN", "listen", file.listen)?,
+            discovery: address("GW_DISCOVERY", "discovery", file.discovery)?,
+            seed: seed(&file.seed),
+            sockets: figure("limits.sockets", file.limits.sockets, SOCKETS_DEFAULT, SOCKETS_LEAST)?,
+            memory: figure("limits.memory_mb", file.limits.memory_mb, MEMORY_DEFAULT, 16)?
+                .saturating_mul(1 << 20),
+            known: file.known,
+            settings,
+            names,
+            transport,
+        })
+    }
+}
+
+/// The seed is hex digits; whatever else stands there still tells one start from another.
+fn seed(value: &Value) -> u64 {
+    let text = value.as_str().map_or_else(|| value.to_string(), str::to_string);
+    u64::from_str_radix(&text, 16).unwrap_or_else(|_| xxh3_64(text.as_bytes()))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = r#"{"name":"n3","listen":"127.0.0.1:6379","discovery":"127.0.0.2:8500","seed":"ff",
+        "limits":{"cores":1.0,"memory_mb":128,"sockets":512},
+        "known":{"seq":4,"whole":true,"hosts":[{"host":"s-1","dial":"127.0.0.3:1"}]},
+        "settings":{"profiles":[{"name":"read","repeat":"safe","give_up_ns":1000}],"caps":{"max_attempts":3}}}"#;
+
+    fn load(from: &str, to: &str) -> Result<Config, String> {
+        assert!(GOOD.contains(from), "{from}");
+        Config::parse(&GOOD.replace(from, to), |_| None).map_err(|e| e.to_string())
+    }
+
+    #[test]
+    fn a_good_configuration_is_read_and_the_environment_goes_before_it() {
+        let variable = |name: &str| (name == "GW_LISTEN").then(|| "127.0.0.9:1".to_string());
+        let config = Config::parse(GOOD, variable).unwrap();
+        assert_eq!((config.listen.to_string().as_str(), config.seed), ("127.0.0.9:1", 255));
+        assert_eq!((config.sockets, config.memory, config.name.as_str()), (512, 128 << 20, "n3"));
+        assert_eq!(config.settings.limits.max_attempts, 3);
+    }
+
+    #[test]
+    fn a_faulty_key_is_named() {
+        let cases = [
+            ("\"listen\":\"127.0.0.1:6379\",", "", "listen: is missing, and GW_LISTEN is not set"),
+            ("127.0.0.2:8500", "there", "discovery: \"there\" is no address with a port"),
+            ("\"sockets\":512", "\"sockets\":5", "limits.sockets: 5 is too little, 64 is the least"),
+            ("\"give_up_ns\":1000", "\"give_up_ns\":0", "settings.profiles[0].give_up_ns: must be over 0"),
+            ("\"max_attempts\":3", "\"max_attempts\":0", "settings.caps.max_attempts: must be over 0"),
+        ];
+        for (from, to, message) in cases {
+            assert_eq!(load(from, to).unwrap_err(), format!("configuration: {message}"));
+        }
+        let error = load("\"give_up_ns\":1000", "\"give_up_ns\":\"x\"").unwrap_err();
+        assert!(error.starts_with("configuration: settings.profiles[0].give_up_ns: invalid type"), "{error}");
+        let error = load("\"seq\":4", "\"seq\":\"4\"").unwrap_err();
+        assert!(error.starts_with("configuration: known.seq: invalid type"), "{error}");
+    }
+}
--- /dev/null
+++ b/balancer/src/counters.rs
@@ -0,0 +1,74 @@
+//! What the balancer took in, sent and answered.
+
+use std::fmt;
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident,)*) => {
+        /// Counts since the start, printed as `name=value` pairs.
+        #[derive(Default)]
+        pub struct Counters {
+            $($(#[$doc])* pub $name: u64,)*
+        }
+
+        impl fmt::Display for Counters {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str("counters:")?;
+                $(write!(f, concat!(" ", stringify!($name), "={}"), self.$name)?;)*
+                Ok(())
+            }
+        }
+    };
+}
+
+counters! {
+    /// Requests taken from clients.
+    taken,
+    /// Commands that were no request: malformed, or lacking a field.
+    malformed,
+    /// Requests turned away for want of memory or places, without asking the module.
+    overfull,
+    /// Tries sent, the first of each request included.
+    tries,
+    /// Tries sent while another of the request was out.
+    copies,
+    /// Probes sent.
+    probes,
+    /// Tries that were answered.
+    try_ok,
+    /// Tries that the peer answered with an error.
+    try_error,
+    /// Tries that the peer turned away.
+    try_full,
+    /// Tries that ran out of time.
+    try_timeout,
+    /// Tries whose connection never came up or broke before all was written.
+    try_connect_failed,
+    /// Tries whose connection broke after that.
+    try_reset,
+    /// Tries called back by the module.
+    try_cancelled,
+    /// Tries never sent, for want of time or of a connection.
+    try_moot,
+    /// Requests answered with a value or receipt.
+    served,
+    /// Requests refused.
+    refused,
+    /// Requests failed.
+    failed,
+    /// Requests whose client left before the answer.
+    gone,
+    /// Client connections accepted.
+    clients_accepted,
+    /// Client connections closed, by either side.
+    clients_closed,
+    /// Connections to peers begun.
+    peers_opened,
+    /// Connections to peers closed, by either side.
+    peers_closed,
+    /// Messages of discovery taken.
+    list_news,
+    /// Calls of discovery begun.
+    list_calls,
+    /// Calls of discovery that failed or ended.
+    list_failed,
+}
--- /dev/null
+++ b/balancer/src/decide.rs
@@ -0,0 +1,95 @@
+//! The seam to the decision module: names become its numbers, events go in in one go, actions come out.
+
+use crate::request::Incoming;
+use crate::upstream_group::{Host, HostList};
+use finchyard::{
+    Action, Brain, ClassId, Entry, Event, Key, ListScope, Nanos, NewRequest, Phase, ServerId, TenantId,
+};
+use finchyard_settings::Names;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The module with the names by which messages speak of its classes, tenants, zones and kinds.
+pub struct Decide {
+    brain: Brain,
+    names: Names,
+}
+
+impl Decide {
+    /// Puts the names to a module.
+    pub fn new(brain: Brain, names: Names) -> Self {
+        Decide { brain, names }
+    }
+
+    /// The names of a load report's values.
+    pub fn names(&self) -> &Names {
+        &self.names
+    }
+
+    /// Hands the module all that happened and returns what is to be done, in order.
+    pub fn decide(&mut self, now: Nanos, events: impl IntoIterator<Item = Event>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for event in events {
+            self.brain.handle(now, event, &mut actions);
+        }
+        actions
+    }
+
+    /// A client's request in the module's terms. A class that the settings don't name has no place among the
+    /// classes; the module fails such a request.
+    pub fn request(&self, incoming: &Incoming) -> Event {
+        let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
+        Event::Request(NewRequest {
+            id: incoming.ticket.request,
+            class: ClassId(place(&self.names.classes, &incoming.class).unwrap_or(usize::MAX)),
+            tenant: incoming.tenant.as_ref().and_then(|t| place(&self.names.tenants, t)).map(TenantId),
+            key: Some(key(&incoming.order.key)),
+            patience: incoming.patience,
+            work: None,
+            write: incoming.order.value.is_some(),
+        })
+    }
+
+    /// A list in the module's terms.
+    pub fn list(&self, list: &HostList, stale: bool) -> Event {
+        let scope = match (stale, list.whole) {
+            (true, _) => ListScope::Stale,
+            (false, true) => ListScope::Whole,
+            (false, false) => ListScope::Patch,
+        };
+        Event::List { scope, entries: list.hosts.iter().map(|h| self.entry(h)).collect() }
+    }
+
+    fn entry(&self, host: &Host) -> Entry {
+        // A zone or kind that the settings don't name is one of its own.
+        let place = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(usize::MAX);
+        Entry {
+            server: server_id(&host.host),
+            zone: place(&self.names.zones, &host.site),
+            kind: place(&self.names.kinds, &host.class),
+            cell: host.block.as_u64().unwrap_or_else(|| xxh3_64(host.block.to_string().as_bytes())),
+            phase: phase(&host.health),
+            weight: host.share,
+            started: (host.born_ms.max(0.0) * 1e6) as Nanos,
+        }
+    }
+}
+
+/// What the list says of a host. A word of a later version of the protocol gets nothing new: the cautious side.
+pub fn phase(health: &str) -> Phase {
+    match health {
+        "in_service" => Phase::Up,
+        "terminated" => Phase::Removed,
+        _ => Phase::Draining,
+    }
+}
+
+/// The module's id of a host: from its name, which is the same at every balancer, as its address is not.
+pub fn server_id(host: &str) -> ServerId {
+    ServerId(xxh3_64(host.as_bytes()))
+}
+
+/// Keys are hex digits; any other text is as good a key.
+fn key(text: &[u8]) -> Key {
+    let hex = std::str::from_utf8(text).ok().filter(|t| t.len() == 16);
+    Key(hex.and_then(|t| u64::from_str_radix(t, 16).ok()).unwrap_or_else(|| xxh3_64(text)))
+}
--- /dev/null
+++ b/balancer/src/event_loop.rs
@@ -0,0 +1,386 @@
+//! The loop: gather what is ready, hand it to the module in one go, carry out what came back.
+
+use crate::config::Config;
+use crate::counters::Counters;
+use crate::decide::{Decide, phase, server_id};
+use crate::front::resp::{FrontEvent, RespFront};
+use crate::peers::{Job, Outgoing, PeerEvent, Peers};
+use crate::poll::{Poll, Ready, Source, Watched};
+use crate::request::FinalAnswer;
+use crate::resp::write_command;
+use crate::timers::{Clock, Due, MS, Timers};
+use crate::tries::{Answer, Tries};
+use crate::upstream_group::{GroupEvent, HostList, UpstreamGroup};
+use finchyard::{Action, Brain, Event, Nanos, Outcome, Phase};
+use polling::Events;
+use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use std::collections::BTreeSet;
+use std::io::{self, Read, Write};
+use std::os::unix::net::UnixStream;
+
+/// Descriptors kept for the listener, the poller, discovery, signals and the standard streams.
+const SOCKETS_KEPT: usize = 32;
+/// Of the memory, requests and answers together may hold this part.
+const MEMORY_PART: usize = 4;
+/// How often idle and stuck connections are looked for.
+const SWEEP: Nanos = 250 * MS;
+/// A probe is given up after this.
+const PROBE_TIMEOUT: Nanos = 500 * MS;
+/// How long new connections are taken after a request to stop: they keep coming for up to 0.4 s.
+const ACCEPT_ON: Nanos = 700 * MS;
+
+/// The balancer at work.
+pub struct EventLoop {
+    clock: Clock,
+    poll: Poll,
+    timers: Timers,
+    counters: Counters,
+    decide: Decide,
+    front: RespFront,
+    group: UpstreamGroup,
+    peers: Peers,
+    tries: Tries,
+    stop: Watched<UnixStream>,
+    report: Watched<UnixStream>,
+    /// What has happened and isn't told to the module yet.
+    news: Vec<Event>,
+    memory: usize,
+    max_open: usize,
+    /// A request to stop came, and whether new connections have ended since.
+    stopping: Option<bool>,
+    ready: bool,
+}
+
+/// A pipe that becomes readable with each of these signals.
+fn signals(poll: &Poll, numbers: &[i32], source: Source) -> io::Result<Watched<UnixStream>> {
+    let (read, write) = UnixStream::pair()?;
+    read.set_nonblocking(true)?;
+    for number in numbers {
+        signal_hook::low_level::pipe::register(*number, write.try_clone()?)?;
+    }
+    poll.watch(read, source, true, false)
+}
+
+fn what<T>(result: io::Result<T>, what: &str) -> Result<T, String> {
+    result.map_err(|e| format!("{what}: {e}"))
+}
+
+impl EventLoop {
+    /// Opens all that is needed before the first client can be served.
+    pub fn new(config: Config) -> Result<Self, String> {
+        let clock = Clock::start();
+        let now = clock.now();
+        let poll = what(Poll::new(), "poller")?;
+        let most = (config.sockets - SOCKETS_KEPT) / 2;
+        let brain = Brain::new(config.settings, config.seed, now).map_err(|e| e.to_string())?;
+        let transport = config.transport;
+        let mut me = EventLoop {
+            stop: what(signals(&poll, &[SIGTERM, SIGINT], Source::Stop), "signals")?,
+            report: what(signals(&poll, &[SIGUSR1], Source::Report), "signals")?,
+            front: what(
+                RespFront::listen(&poll, config.listen, most),
+                &format!("listening on {}", config.listen),
+            )?,
+            group: UpstreamGroup::new(&poll, config.discovery, config.known.as_ref().map(|list| list.seq)),
+            peers: Peers::new(&poll, most, transport.connect_timeout, transport.conn_idle),
+            decide: Decide::new(brain, config.names),
+            tries: Tries::default(),
+            timers: Timers::default(),
+            counters: Counters::default(),
+            news: Vec::new(),
+            memory: config.memory / MEMORY_PART,
+            max_open: transport.max_open,
+            stopping: None,
+            ready: false,
+            clock,
+            poll,
+        };
+        me.timers.set(now + SWEEP, Due::Sweep);
+        if let Some(list) = config.known {
+            me.list(list, true);
+        }
+        Ok(me)
+    }
+
+    /// Works until a request to stop is carried out.
+    pub fn run(mut self) -> Result<(), String> {
+        let mut events = Events::new();
+        let mut ready = Vec::new();
+        while !self.is_over() {
+            self.settle();
+            let wait = self.timers.wait(self.clock.now());
+            what(self.poll.wait(&mut events, wait, &mut ready), "waiting")?;
+            self.gather(&mut ready);
+        }
+        self.print_counters();
+        Ok(())
+    }
+
+    /// After a request to stop: no new clients, all that was taken is answered, and every answer is out.
+    fn is_over(&self) -> bool {
+        self.stopping == Some(true) && self.front.is_empty()
+    }
+
+    /// Tells the module what happened and does what it says, until nothing is left to tell.
+    fn settle(&mut self) {
+        while !self.news.is_empty() {
+            let now = self.clock.now();
+            let news = std::mem::take(&mut self.news);
+            for action in self.decide.decide(now, news) {
+                self.carry_out(now, action);
+            }
+        }
+    }
+
+    /// Takes in all that is ready: outcomes before new requests, so that the module decides by the latest.
+    fn gather(&mut self, ready: &mut Vec<Ready>) {
+        let now = self.clock.now();
+        let mut clients = Vec::new();
+        for one in ready.drain(..) {
+            match one.source {
+                Source::Peer(_) => {
+                    let mut events = Vec::new();
+                    self.peers.ready(now, one, &mut events, &mut self.counters);
+                    self.peer_events(now, events);
+                }
+                Source::Discovery(_) => {
+                    let mut events = Vec::new();
+                    self.group.ready(now, one, &mut events, &mut self.counters);
+                    self.group_events(events);
+                }
+                Source::Stop => self.stop(now),
+                Source::Report => {
+                    drain(&self.report);
+                    self.print_counters();
+                }
+                Source::Listener => self.front.accept(now, &mut self.counters),
+                Source::Client(_) => clients.push(one),
+            }
+        }
+        while let Some(due) = self.timers.pop(now) {
+            self.due(now, due);
+        }
+        for one in clients {
+            let mut events = Vec::new();
+            self.front.ready(now, one, &mut events, &mut self.counters);
+            self.front_events(now, events);
+        }
+    }
+
+    fn due(&mut self, now: Nanos, due: Due) {
+        match due {
+            Due::Module(token) => self.news.push(Event::Timer(token)),
+            Due::Try(request, attempt) => {
+                let outcome = Outcome::Timeout;
+                if let Some(event) = self.tries.give_up(now, request, attempt, outcome, &mut self.counters) {
+                    self.peers.abandon(Job::Try(request, attempt), &mut self.counters);
+                    self.news.push(event);
+                }
+            }
+            Due::Probe(probe) => {
+                if let Some(event) = self.tries.probe_due(probe) {
+                    self.peers.abandon(Job::Probe(probe), &mut self.counters);
+                    self.news.push(event);
+                }
+            }
+            Due::Connect(number) => {
+                let mut events = Vec::new();
+                self.peers.connect_due(number, &mut events, &mut self.counters);
+                self.peer_events(now, events);
+            }
+            Due::Discovery(number) => {
+                let mut events = Vec::new();
+                self.group.due(now, number, &mut self.timers, &mut events, &mut self.counters);
+                self.group_events(events);
+            }
+            Due::Sweep => {
+                let mut events = Vec::new();
+                self.front.sweep(now, &mut events, &mut self.counters);
+                self.peers.sweep(now, &mut self.counters);
+                self.front_events(now, events);
+                self.timers.set(now + SWEEP, Due::Sweep);
+            }
+            Due::StopAccepting => {
+                self.front.stop_accepting(now, &mut self.counters);
+                self.stopping = Some(true);
+            }
+        }
+    }
+
+    fn front_events(&mut self, now: Nanos, events: Vec<FrontEvent>) {
+        for event in events {
+            match event {
+                FrontEvent::Request(incoming) => {
+                    // More would end the process for its memory, and with it all that was taken.
+                    let full = self.tries.held() + self.front.buffered() > self.memory;
+                    if full || self.tries.open() >= self.max_open {
+                        self.counters.overfull += 1;
+                        self.answer(now, (incoming.ticket, FinalAnswer::Refused { retry_after: 0 }));
+                        continue;
+                    }
+                    self.news.push(self.decide.request(&incoming));
+                    self.tries.take(now, incoming);
+                }
+                FrontEvent::Gone(request) => {
+                    self.tries.gone(request);
+                    self.news.push(Event::Gone(request));
+                }
+            }
+        }
+    }
+
+    fn peer_events(&mut self, now: Nanos, events: Vec<PeerEvent>) {
+        for event in events {
+            let (event, answer) = self.tries.finished(now, event, &mut self.counters);
+            self.news.extend(event);
+            if let Some(answer) = answer {
+                self.answer(now, answer);
+            }
+        }
+    }
+
+    fn group_events(&mut self, events: Vec<GroupEvent>) {
+        for event in events {
+            match event {
+                GroupEvent::News(list) => self.list(list, false),
+                GroupEvent::Failed => {
+                    let entries = Vec::new();
+                    self.news.push(Event::List { scope: finchyard::ListScope::Failed, entries });
+                }
+            }
+        }
+    }
+
+    /// Tells the module of a list, and the pools what it says of their peers.
+    fn list(&mut self, list: HostList, stale: bool) {
+        let now = self.clock.now();
+        let mut events = Vec::new();
+        let mut listed = BTreeSet::new();
+        for host in &list.hosts {
+            let server = server_id(&host.host);
+            let phase = phase(&host.health);
+            listed.insert(server);
+            match host.dial.parse() {
+                Ok(address) => self.peers.set_address(server, address, &mut self.counters),
+                Err(_) => {
+                    log::warn!("upstream group: {}: \"{}\" is no address with a port", host.host, host.dial)
+                }
+            }
+            if phase != Phase::Up {
+                self.peers.withdraw(server, &mut events, &mut self.counters);
+            }
+            if phase == Phase::Removed {
+                self.peers.forget(server);
+            }
+        }
+        if list.whole {
+            for server in self.peers.listed().into_iter().filter(|s| !listed.contains(s)) {
+                self.peers.withdraw(server, &mut events, &mut self.counters);
+                self.peers.forget(server);
+            }
+        }
+        self.news.push(self.decide.list(&list, stale));
+        self.peer_events(now, events);
+        if !self.ready && !list.hosts.is_empty() {
+            self.ready = true;
+            self.front.set_ready();
+        }
+    }
+
+    fn carry_out(&mut self, now: Nanos, action: Action) {
+        match action {
+            Action::Send { request, server, timeout } => {
+                match self.tries.start(now, request, server, timeout, &mut self.counters) {
+                    Ok(outgoing) => {
+                        if let Job::Try(request, attempt) = outgoing.job {
+                            self.timers.set(outgoing.until, Due::Try(request, attempt));
+                        }
+                        self.dispatch(now, outgoing);
+                    }
+                    Err(never_sent) => self.news.push(*never_sent),
+                }
+            }
+            Action::Fail(request) => {
+                if let Some(answer) = self.tries.answer(request, FinalAnswer::Failed) {
+                    self.answer(now, answer);
+                }
+            }
+            Action::Refuse { request, retry_after } => {
+                if let Some(answer) = self.tries.answer(request, FinalAnswer::Refused { retry_after }) {
+                    self.answer(now, answer);
+                }
+            }
+            Action::Cancel { request, attempt } => {
+                let outcome = Outcome::Cancelled;
+                if let Some(event) = self.tries.give_up(now, request, attempt, outcome, &mut self.counters) {
+                    self.peers.abandon(Job::Try(request, attempt), &mut self.counters);
+                    self.news.push(event);
+                }
+            }
+            Action::Probe(server) => {
+                let job = self.tries.probe(server, &mut self.counters);
+                if let Job::Probe(probe) = job {
+                    self.timers.set(now + PROBE_TIMEOUT, Due::Probe(probe));
+                }
+                // Where load is reported the probe asks for it.
+                let load = !self.decide.names().report.is_empty();
+                let words: &[&[u8]] = if load { &[b"INFO", b"load"] } else { &[b"PING"] };
+                self.dispatch(
+                    now,
+                    Outgoing { job, server, until: now + PROBE_TIMEOUT, command: write_command(words) },
+                );
+            }
+            Action::Close(server) => self.peers.close_idle(server, &mut self.counters),
+            Action::Watch => {
+                let failed = self.group.watch(now, &mut self.timers, &mut self.counters);
+                self.group_events(failed.into_iter().collect());
+            }
+            Action::Timer { after, token } => self.timers.set(now.saturating_add(after), Due::Module(token)),
+            Action::Log(text) => log::info!("{text}"),
+        }
+    }
+
+    fn dispatch(&mut self, now: Nanos, outgoing: Outgoing) {
+        let mut events = Vec::new();
+        self.peers.dispatch(now, outgoing, &mut self.timers, &mut events, &mut self.counters);
+        self.peer_events(now, events);
+    }
+
+    fn answer(&mut self, now: Nanos, (ticket, answer): Answer) {
+        match answer {
+            FinalAnswer::Served(_) => self.counters.served += 1,
+            FinalAnswer::Refused { .. } => self.counters.refused += 1,
+            FinalAnswer::Failed => self.counters.failed += 1,
+        }
+        let connection = ticket.connection;
+        self.front.answer(ticket, answer);
+        let mut events = Vec::new();
+        self.front.flush(connection, now, &mut events, &mut self.counters);
+        self.front_events(now, events);
+    }
+
+    fn stop(&mut self, now: Nanos) {
+        drain(&self.stop);
+        if self.stopping.is_some() {
+            return;
+        }
+        log::info!("asked to stop: answering what was taken");
+        self.stopping = Some(false);
+        self.timers.set(now + ACCEPT_ON, Due::StopAccepting);
+        let mut events = Vec::new();
+        self.front.stop(now, &mut events, &mut self.counters);
+        self.front_events(now, events);
+    }
+
+    /// On standard output, so that no choice of log level hides them.
+    fn print_counters(&self) {
+        // Nobody may be reading any more; that is no reason to fail.
+        let _ = writeln!(io::stdout(), "{}", self.counters);
+    }
+}
+
+/// Empties a signal pipe: several signals may have come.
+fn drain(pipe: &Watched<UnixStream>) {
+    let mut bytes = [0; 64];
+    while matches!(pipe.socket().read(&mut bytes), Ok(n) if n > 0) {}
+}
--- /dev/null
+++ b/balancer/src/front/resp.rs
@@ -0,0 +1,446 @@
+//! The RESP front: client connections, commands in, answers out in the order of the commands.
+
+use crate::counters::Counters;
+use crate::poll::{Poll, Ready, Source, Watched};
+use crate::request::{FinalAnswer, Incoming, Order, Ticket};
+use crate::resp::{self, VALUE_MAX, read_command};
+use crate::timers::MS;
+use finchyard::{Nanos, RequestId};
+use std::collections::{BTreeMap, VecDeque};
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::ops::Range;
+
+/// Commands of one connection that may wait for their answers; the next ones stay unread.
+const OWED_MAX: usize = 16;
+/// A connection with more than this still to be written gets no further command read.
+const UNSENT_MAX: usize = 2 * VALUE_MAX;
+/// One read takes at most this much.
+const READ_SIZE: usize = 32 * 1024;
+/// Unread commands are kept up to this size: one with the longest value always fits.
+const INPUT_MAX: usize = resp::MESSAGE_MAX;
+/// A client that takes none of its answer for this long is given up.
+const STUCK: Nanos = 10_000 * MS;
+/// No client waits longer than this, whatever it says.
+const PATIENCE_MAX: f64 = 3_600_000.0;
+
+/// What a front tells the core.
+#[derive(Debug)]
+pub enum FrontEvent {
+    /// A request has come.
+    Request(Incoming),
+    /// The client of this request has left.
+    Gone(RequestId),
+}
+
+/// An answer that is owed on a connection, or has come but waits for those before it.
+enum Place {
+    Waiting(RequestId),
+    Answered(Vec<u8>),
+}
+
+struct ClientConnection {
+    stream: Watched<TcpStream>,
+    input: Vec<u8>,
+    /// Answers in the order of the commands.
+    places: VecDeque<Place>,
+    output: Vec<u8>,
+    written: usize,
+    /// Close once all is answered: the framing is lost.
+    last: bool,
+    /// When it last took or got something.
+    active: Nanos,
+}
+
+impl ClientConnection {
+    fn unsent(&self) -> usize {
+        self.output.len() - self.written
+    }
+
+    fn takes_commands(&self) -> bool {
+        !self.last && self.places.len() < OWED_MAX && self.unsent() < UNSENT_MAX
+    }
+
+    /// Between requests: nothing owed, nothing begun, nothing unsent.
+    fn is_idle(&self) -> bool {
+        self.places.is_empty() && self.unsent() == 0 && self.input.is_empty()
+    }
+}
+
+/// All client connections.
+pub struct RespFront {
+    poll: Poll,
+    listener: Option<Watched<TcpListener>>,
+    connections: BTreeMap<u64, ClientConnection>,
+    most: usize,
+    next_connection: u64,
+    /// The module's request ids: our own count, never the client's.
+    next_request: u128,
+    /// The module can decide, so a client may come.
+    ready: bool,
+    stopping: bool,
+    accepting: bool,
+}
+
+impl RespFront {
+    /// Listens; at most `most` connections are held at once.
+    pub fn listen(poll: &Poll, address: SocketAddr, most: usize) -> io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let listener = poll.watch(listener, Source::Listener, true, false)?;
+        Ok(RespFront {
+            poll: poll.clone(),
+            listener: Some(listener),
+            connections: BTreeMap::new(),
+            most,
+            next_connection: 0,
+            next_request: 1,
+            ready: false,
+            stopping: false,
+            accepting: true,
+        })
+    }
+
+    /// From now on `PING` is answered `+PONG`.
+    pub fn set_ready(&mut self) {
+        self.ready = true;
+    }
+
+    /// Bytes held for clients, unread and unsent.
+    pub fn buffered(&self) -> usize {
+        let answered = |p: &Place| if let Place::Answered(bytes) = p { bytes.len() } else { 0 };
+        let of =
+            |c: &ClientConnection| c.input.len() + c.unsent() + c.places.iter().map(answered).sum::<usize>();
+        self.connections.values().map(of).sum()
+    }
+
+    /// Whether any client connection is open.
+    pub fn is_empty(&self) -> bool {
+        self.connections.is_empty()
+    }
+
+    /// Takes the clients that wait at the door.
+    pub fn accept(&mut self, now: Nanos, counters: &mut Counters) {
+        loop {
+            if self.connections.len() >= self.most && !self.make_room(counters) {
+                // All are at work: whoever comes waits in the listener's queue until one is done. Taking it
+                // would use up the descriptors that peers and discovery need.
+                return self.pause(true);
+            }
+            let Some(listener) = &self.listener else { return };
+            match listener.socket().accept() {
+                Ok((stream, _)) => {
+                    let number = self.next_connection;
+                    let watched = stream
+                        .set_nonblocking(true)
+                        .and_then(|()| stream.set_nodelay(true))
+                        .and_then(|()| self.poll.watch(stream, Source::Client(number), true, false));
+                    let stream = match watched {
+                        Ok(stream) => stream,
+                        Err(e) => {
+                            log::warn!("client connection {number}: {e}");
+                            continue;
+                        }
+                    };
+                    self.next_connection += 1;
+                    counters.clients_accepted += 1;
+                    self.connections.insert(
+                        number,
+                        ClientConnection {
+                            stream,
+                            input: Vec::new(),
+                            places: VecDeque::new(),
+                            output: Vec::new(),
+                            written: 0,
+                            last: false,
+                            active: now,
+                        },
+                    );
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                Err(e) => {
+                    // Out of descriptors, most likely: without a pause the loop would spin on the same error.
+                    log::warn!("accepting clients: {e}");
+                    return self.pause(true);
+                }
+            }
+        }
+    }
+
+    fn pause(&mut self, pause: bool) {
+        if let Some(listener) = &mut self.listener
+            && self.accepting == pause
+        {
+            match listener.interest(!pause, false) {
+                Ok(()) => self.accepting = !pause,
+                Err(e) => log::warn!("listener: {e}"),
+            }
+        }
+    }
+
+    /// Closes the connection that has been idle longest, if one is.
+    fn make_room(&mut self, counters: &mut Counters) -> bool {
+        let idle = self.connections.iter().filter(|(_, c)| c.is_idle());
+        let Some(number) = idle.min_by_key(|(_, c)| c.active).map(|(n, _)| *n) else { return false };
+        self.remove(number, counters, &mut Vec::new());
+        true
+    }
+
+    /// Reads and writes what a connection is ready for.
+    pub fn ready(&mut self, now: Nanos, ready: Ready, events: &mut Vec<FrontEvent>, counters: &mut Counters) {
+        let Source::Client(number) = ready.source else { return };
+        if ready.writable {
+            self.flush(number, now, events, counters);
+        }
+        if ready.readable {
+            self.read(number, now, events, counters);
+        }
+    }
+
+    fn read(&mut self, number: u64, now: Nanos, events: &mut Vec<FrontEvent>, counters: &mut Counters) {
+        let Some(c) = self.connections.get_mut(&number) else { return };
+        let held = c.input.len();
+        if held >= INPUT_MAX {
+            // Not watched for reading, so this is a broken connection: nothing more can be answered on it.
+            return self.remove(number, counters, events);
+        }
+        c.input.resize(held + READ_SIZE.min(INPUT_MAX - held), 0);
+        let got = c.stream.socket().read(&mut c.input[held..]);
+        c.input.truncate(held + *got.as_ref().unwrap_or(&0));
+        match got {
+            Ok(0) => self.remove(number, counters, events),
+            Ok(_) => {
+                c.active = now;
+                self.parse(number, events, counters);
+                self.flush(number, now, events, counters);
+            }
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
+            Err(_) => self.remove(number, counters, events),
+        }
+    }
+
+    /// Takes the whole commands that have come, as many as may wait for their answers.
+    fn parse(&mut self, number: u64, events: &mut Vec<FrontEvent>, counters: &mut Counters) {
+        let Some(c) = self.connections.get_mut(&number) else { return };
+        let mut at = 0;
+        while c.takes_commands() {
+            match read_command(&c.input[at..]) {
+                Ok(None) => break,
+                Ok(Some((words, length))) => {
+                    let input = &c.input[at..at + length];
+                    at += length;
+                    let ticket = Ticket { request: RequestId(self.next_request), connection: number };
+                    match command(input, &words, ticket, self.ready) {
+                        Taken::Request(incoming) => {
+                            self.next_request += 1;
+                            c.places.push_back(Place::Waiting(incoming.ticket.request));
+                            counters.taken += 1;
+                            events.push(FrontEvent::Request(incoming));
+                        }
+                        Taken::Answer(answer) => c.places.push_back(Place::Answered(answer)),
+                        Taken::Malformed(problem) => {
+                            counters.malformed += 1;
+                            c.places.push_back(Place::Answered(error(&format!("ERR {problem}"))));
+                        }
+                        Taken::Nothing => {}
+                    }
+                }
+                Err(e) => {
+                    // Where the next command begins is not known: answer, then close.
+                    counters.malformed += 1;
+                    c.places.push_back(Place::Answered(error(&format!("ERR {e}"))));
+                    c.last = true;
+                }
+            }
+        }
+        c.input.drain(..at);
+        if c.last {
+            c.input.clear();
+        }
+        if c.input.is_empty() {
+            c.input.shrink_to(READ_SIZE);
+        }
+    }
+
+    /// Gives the final answer for a ticket; it goes out once those before it on its connection have.
+    pub fn answer(&mut self, ticket: Ticket, answer: FinalAnswer) {
+        let Some(c) = self.connections.get_mut(&ticket.connection) else { return };
+        let waiting = |p: &&mut Place| matches!(p, Place::Waiting(id) if *id == ticket.request);
+        if let Some(place) = c.places.iter_mut().find(waiting) {
+            *place = Place::Answered(encode(answer));
+        }
+    }
+
+    /// Writes what may go out on this connection, and goes on with commands that waited for that.
+    pub fn flush(&mut self, number: u64, now: Nanos, events: &mut Vec<FrontEvent>, counters: &mut Counters) {
+        loop {
+            let Some(c) = self.connections.get_mut(&number) else { return };
+            while let Some(Place::Answered(_)) = c.places.front()
+                && let Some(Place::Answered(bytes)) = c.places.pop_front()
+            {
+                c.output.extend_from_slice(&bytes);
+            }
+            while c.unsent() > 0 {
+                match c.stream.socket().write(&c.output[c.written..]) {
+                    Ok(0) => return self.remove(number, counters, events),
+                    Ok(n) => {
+                        c.written += n;
+                        c.active = now;
+                    }
+                    Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                    Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                    Err(_) => return self.remove(number, counters, events),
+                }
+            }
+            if c.unsent() == 0 {
+                c.output.clear();
+                c.output.shrink_to(READ_SIZE);
+                c.written = 0;
+            }
+            let done = c.last || self.stopping && c.input.is_empty();
+            if done && c.places.is_empty() && c.unsent() == 0 {
+                return self.remove(number, counters, events);
+            }
+            // Commands that were left unread because too much was owed may go on now.
+            let before = c.places.len();
+            if !c.input.is_empty() && c.takes_commands() {
+                self.parse(number, events, counters);
+            }
+            let Some(c) = self.connections.get_mut(&number) else { return };
+            let more = matches!(c.places.front(), Some(Place::Answered(_))) && c.places.len() > before;
+            if more && c.unsent() == 0 {
+                continue;
+            }
+            // While answers are owed the end of the connection is still of interest: the client has gone.
+            let read = c.input.len() < INPUT_MAX && !c.last && c.unsent() < UNSENT_MAX;
+            let write = c.unsent() > 0;
+            if c.stream.interest(read, write).is_err() {
+                self.remove(number, counters, events);
+            }
+            return;
+        }
+    }
+
+    /// Closes a connection; whoever waited on it has gone.
+    fn remove(&mut self, number: u64, counters: &mut Counters, events: &mut Vec<FrontEvent>) {
+        let Some(c) = self.connections.remove(&number) else { return };
+        counters.clients_closed += 1;
+        for place in c.places {
+            if let Place::Waiting(request) = place {
+                counters.gone += 1;
+                events.push(FrontEvent::Gone(request));
+            }
+        }
+        self.pause(false);
+    }
+
+    /// Looks for clients that take nothing of what they are owed, and tries the door again after an error.
+    pub fn sweep(&mut self, now: Nanos, events: &mut Vec<FrontEvent>, counters: &mut Counters) {
+        let stuck = |c: &ClientConnection| c.unsent() > 0 && now.saturating_sub(c.active) > STUCK;
+        let stuck: Vec<u64> = self.connections.iter().filter(|(_, c)| stuck(c)).map(|(n, _)| *n).collect();
+        for number in stuck {
+            self.remove(number, counters, events);
+        }
+        if self.connections.len() < self.most {
+            self.pause(false);
+        }
+    }
+
+    /// From now on a connection is closed once nothing is owed on it; idle ones at once.
+    pub fn stop(&mut self, now: Nanos, events: &mut Vec<FrontEvent>, counters: &mut Counters) {
+        self.stopping = true;
+        for number in self.connections.keys().copied().collect::<Vec<_>>() {
+            // What has come but is not read yet is taken first: closing would lose it.
+            self.read(number, now, events, counters);
+            self.flush(number, now, events, counters);
+        }
+    }
+
+    /// No new connections from now on.
+    pub fn stop_accepting(&mut self, now: Nanos, counters: &mut Counters) {
+        self.accept(now, counters);
+        self.listener = None;
+    }
+}
+
+/// What a command turns out to be.
+enum Taken {
+    Request(Incoming),
+    /// Something the balancer answers itself.
+    Answer(Vec<u8>),
+    Malformed(String),
+    /// An empty command, which is not answered.
+    Nothing,
+}
+
+fn command(input: &[u8], words: &[Range<usize>], ticket: Ticket, ready: bool) -> Taken {
+    let word = |i: usize| words.get(i).map_or(&[][..], |range| &input[range.clone()]);
+    if words.is_empty() {
+        return Taken::Nothing;
+    }
+    let name = word(0).to_ascii_uppercase();
+    match (name.as_slice(), words.len()) {
+        (b"C.GET", 4) | (b"C.SET", 5) => {
+            let value = (words.len() == 5).then(|| word(4).to_vec());
+            request([word(1), word(2), word(3)], value, ticket).map_or_else(Taken::Malformed, Taken::Request)
+        }
+        (b"C.GET" | b"C.SET", _) => Taken::Malformed("wrong number of arguments".into()),
+        (b"PING", _) if ready => Taken::Answer(b"+PONG\r\n".to_vec()),
+        (b"PING", _) => Taken::Answer(error("LOADING no list of tile caches yet")),
+        (b"CLIENT" | b"SELECT", _) => Taken::Answer(b"+OK\r\n".to_vec()),
+        _ => {
+            Taken::Malformed(format!("unknown command '{}'", word(0)[..word(0).len().min(32)].escape_ascii()))
+        }
+    }
+}
+
+fn request(
+    [key, id, fields]: [&[u8]; 3],
+    value: Option<Vec<u8>>,
+    ticket: Ticket,
+) -> Result<Incoming, String> {
+    let fields = std::str::from_utf8(fields).map_err(|_| "fields are not UTF-8".to_string())?;
+    let (mut class, mut tenant, mut patience, mut kept) = (None, None, None, Vec::new());
+    for field in fields.split(',').filter(|f| !f.is_empty()) {
+        let (name, text) = field.split_once('=').ok_or_else(|| format!("field '{field}' has no value"))?;
+        match name {
+            "c" => class = Some(text.to_string()),
+            "t" => tenant = Some(text.to_string()),
+            "d" => patience = Some(text),
+            _ => {}
+        }
+        if name != "d" {
+            kept.push((name.to_string(), text.to_string()));
+        }
+    }
+    let class = class.ok_or("field 'c' is missing")?;
+    let patience = patience.ok_or("field 'd' is missing")?;
+    // Whatever a client writes, no time may overflow or run backwards.
+    let ms: f64 = patience.parse().map_err(|_| format!("field 'd': '{patience}' is no number"))?;
+    if !ms.is_finite() || ms < 0.0 {
+        return Err(format!("field 'd': '{patience}' is no time"));
+    }
+    let patience = (ms.min(PATIENCE_MAX) * MS as f64) as Nanos;
+    let order = Order { value, key: key.to_vec(), id: id.to_vec(), fields: kept };
+    Ok(Incoming { ticket, class, tenant, patience, order })
+}
+
+fn error(text: &str) -> Vec<u8> {
+    let mut out = Vec::new();
+    resp::write_error(&mut out, text);
+    out
+}
+
+fn encode(answer: FinalAnswer) -> Vec<u8> {
+    match answer {
+        FinalAnswer::Served(value) => {
+            let mut out = Vec::with_capacity(value.len() + 16);
+            resp::write_bulk(&mut out, &value);
+            out
+        }
+        FinalAnswer::Refused { retry_after: 0 } => error("BUSY"),
+        FinalAnswer::Refused { retry_after } => error(&format!("BUSY {}", retry_after.div_ceil(MS))),
+        FinalAnswer::Failed => error("ERR failed"),
+    }
+}
--- /dev/null
+++ b/balancer/src/main.rs
@@ -0,0 +1,35 @@
+//! pipitrun: one balancer of tile caches on real sockets. The modules follow the stages of a request: a front
+//! takes it from a client connection, `request` is its context, `decide` asks the module, `tries` and `peers`
+//! carry out what it says, and the front answers. No decision is taken here; they are all finchyard's.
+#![deny(unsafe_code)]
+
+mod config;
+mod counters;
+mod decide;
+mod event_loop;
+mod front;
+mod peers;
+mod poll;
+mod request;
+mod resp;
+mod timers;
+mod tries;
+mod upstream_group;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let result =
+        config::Config::load(|name| std::env::var(name).ok()).map_err(|e| e.to_string()).and_then(|config| {
+            log::info!("{}: listening on {}, discovery at {}", config.name, config.listen, config.discovery);
+            event_loop::EventLoop::new(config)?.run()
+        });
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("pipitrun: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/balancer/src/peers.rs
@@ -0,0 +1,392 @@
+//! Peers, the tile caches, and the pools of connections to them. A connection carries one job at a time, so
+//! that giving a job up (by closing) takes no other with it and no answer waits for a slower one before it.
+
+use crate::counters::Counters;
+use crate::poll::{Poll, Ready, Source, Watched, connect};
+use crate::resp::{MESSAGE_MAX, Reply, read_reply};
+use crate::timers::{Due, MS, Timers};
+use finchyard::{AttemptNo, Nanos, RequestId, ServerId};
+use std::collections::{BTreeMap, HashMap};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+/// One read takes at most this much.
+const READ_SIZE: usize = 32 * 1024;
+/// Of all connections to peers, one peer gets at most this part.
+const PEER_PART: usize = 4;
+
+/// What a connection is used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Job {
+    /// A try of a request.
+    Try(RequestId, AttemptNo),
+    /// A probe, by its number.
+    Probe(u64),
+}
+
+/// A job that is to go out.
+pub struct Outgoing {
+    /// Which.
+    pub job: Job,
+    /// Where to.
+    pub server: ServerId,
+    /// When it has had its time.
+    pub until: Nanos,
+    /// What is sent.
+    pub command: Vec<u8>,
+}
+
+/// How a job ended.
+#[derive(Debug, PartialEq, Eq)]
+pub enum JobEnd {
+    /// The peer's reply.
+    Reply(Reply),
+    /// No connection came up, or it broke before the last byte was written: it never ran.
+    NeverSent,
+    /// The connection broke after that, or what came was no RESP: it may have run.
+    Broken,
+    /// There is no place for another connection: it never ran, and says nothing of the peer.
+    NoPlace,
+}
+
+/// The end of a job.
+#[derive(Debug)]
+pub struct PeerEvent {
+    /// Which job.
+    pub job: Job,
+    /// How it ended.
+    pub end: JobEnd,
+}
+
+enum State {
+    /// Not up yet; nothing of the job is written.
+    Connecting(Job),
+    /// A job is being written or waited for.
+    Busy(Job),
+    Idle {
+        since: Nanos,
+    },
+}
+
+struct PeerConnection {
+    server: ServerId,
+    stream: Watched<TcpStream>,
+    state: State,
+    /// The job's command, and how much of it is written.
+    output: Vec<u8>,
+    written: usize,
+    input: Vec<u8>,
+}
+
+impl PeerConnection {
+    fn job(&self) -> Option<Job> {
+        match self.state {
+            State::Connecting(job) | State::Busy(job) => Some(job),
+            State::Idle { .. } => None,
+        }
+    }
+
+    /// How the job at hand ends when the connection breaks now.
+    fn broken(&self) -> JobEnd {
+        if self.written < self.output.len() { JobEnd::NeverSent } else { JobEnd::Broken }
+    }
+}
+
+#[derive(Default)]
+struct Peer {
+    address: Option<SocketAddr>,
+    /// Idle connections, the one used last at the end.
+    idle: Vec<u64>,
+    connections: usize,
+}
+
+/// All peers and the connections to them.
+pub struct Peers {
+    poll: Poll,
+    peers: HashMap<ServerId, Peer>,
+    connections: BTreeMap<u64, PeerConnection>,
+    jobs: HashMap<Job, u64>,
+    next_connection: u64,
+    most: usize,
+    connect_timeout: Nanos,
+    /// Idle connections are closed after this, before the peer would.
+    idle_time: Nanos,
+}
+
+impl Peers {
+    /// No peers yet; at most `most` connections are held at once.
+    pub fn new(poll: &Poll, most: usize, connect_timeout: Nanos, conn_idle: Nanos) -> Self {
+        Peers {
+            poll: poll.clone(),
+            peers: HashMap::new(),
+            connections: BTreeMap::new(),
+            jobs: HashMap::new(),
+            next_connection: 0,
+            most,
+            connect_timeout,
+            // A job written to a connection that the peer has just closed ends as a reset, and a write that may
+            // have run can't be repeated: leave well before that.
+            idle_time: conn_idle / 4 * 3,
+        }
+    }
+
+    /// Where a peer is to be reached from now on; connections to its former address carry nothing new.
+    pub fn set_address(&mut self, server: ServerId, address: SocketAddr, counters: &mut Counters) {
+        if self.peers.entry(server).or_default().address.replace(address).is_some_and(|old| old != address) {
+            self.close_idle(server, counters);
+        }
+    }
+
+    /// The peer wants nothing new, or is gone. What has not begun to be written never will be: a connection
+    /// that comes up only after the grace of the drain rule must not carry its job there.
+    pub fn withdraw(&mut self, server: ServerId, events: &mut Vec<PeerEvent>, counters: &mut Counters) {
+        let unwritten = |c: &PeerConnection| c.server == server && c.written == 0 && c.job().is_some();
+        let unwritten: Vec<u64> =
+            self.connections.iter().filter(|(_, c)| unwritten(c)).map(|(n, _)| *n).collect();
+        for number in unwritten {
+            self.end(number, JobEnd::NeverSent, events, counters);
+        }
+        self.close_idle(server, counters);
+    }
+
+    /// Sends a job's command on an idle connection or a new one.
+    pub fn dispatch(
+        &mut self,
+        now: Nanos,
+        Outgoing { job, server, until, command }: Outgoing,
+        timers: &mut Timers,
+        events: &mut Vec<PeerEvent>,
+        counters: &mut Counters,
+    ) {
+        while let Some(number) = self.peers.get_mut(&server).and_then(|p| p.idle.pop()) {
+            // It may have ended since it was last looked at; a job written to it would be lost as a reset.
+            if !self.connections.get(&number).is_some_and(still_open) {
+                self.remove(number, counters);
+                continue;
+            }
+            if let Some(c) = self.connections.get_mut(&number) {
+                (c.state, c.output, c.written) = (State::Busy(job), command, 0);
+                self.jobs.insert(job, number);
+                return self.write(number, events, counters);
+            }
+            return;
+        }
+        match self.open(server, counters) {
+            Ok(stream) => {
+                let number = self.next_connection;
+                let watched = self.poll.watch(stream, Source::Peer(number), false, true);
+                let stream = match watched {
+                    Ok(stream) => stream,
+                    Err(e) => {
+                        log::warn!("connection to a peer: {e}");
+                        return events.push(PeerEvent { job, end: JobEnd::NoPlace });
+                    }
+                };
+                self.next_connection += 1;
+                counters.peers_opened += 1;
+                let state = State::Connecting(job);
+                let c =
+                    PeerConnection { server, stream, state, output: command, written: 0, input: Vec::new() };
+                self.connections.insert(number, c);
+                self.jobs.insert(job, number);
+                self.peers.entry(server).or_default().connections += 1;
+                timers.set(until.min(now + self.connect_timeout), Due::Connect(number));
+            }
+            Err(end) => events.push(PeerEvent { job, end }),
+        }
+    }
+
+    /// Begins a connection, or says how the job that needed it ends.
+    fn open(&mut self, server: ServerId, counters: &mut Counters) -> Result<TcpStream, JobEnd> {
+        let peer = self.peers.get(&server).ok_or(JobEnd::NeverSent)?;
+        let address = peer.address.ok_or(JobEnd::NeverSent)?;
+        if peer.connections >= (self.most / PEER_PART).max(1) {
+            return Err(JobEnd::NoPlace);
+        }
+        if self.connections.len() >= self.most && !self.make_room(counters) {
+            return Err(JobEnd::NoPlace);
+        }
+        connect(address).map_err(|e| match e.kind() {
+            ErrorKind::ConnectionRefused | ErrorKind::NetworkUnreachable | ErrorKind::HostUnreachable => {
+                JobEnd::NeverSent
+            }
+            // Out of descriptors or ports: ours to bear, not the peer's.
+            _ => {
+                log::warn!("socket for a peer at {address}: {e}");
+                JobEnd::NoPlace
+            }
+        })
+    }
+
+    /// Closes the connection that has been idle longest, if one is.
+    fn make_room(&mut self, counters: &mut Counters) -> bool {
+        let idle = self.connections.iter().filter_map(|(n, c)| match c.state {
+            State::Idle { since } => Some((since, *n)),
+            _ => None,
+        });
+        let Some((_, number)) = idle.min() else { return false };
+        self.remove(number, counters);
+        true
+    }
+
+    /// Gives a job up by closing its connection. Nothing more is heard of it.
+    pub fn abandon(&mut self, job: Job, counters: &mut Counters) {
+        if let Some(number) = self.jobs.get(&job).copied() {
+            self.remove(number, counters);
+        }
+    }
+
+    /// A connection that is not up by now has failed.
+    pub fn connect_due(&mut self, number: u64, events: &mut Vec<PeerEvent>, counters: &mut Counters) {
+        if self.connections.get(&number).is_some_and(|c| matches!(c.state, State::Connecting(_))) {
+            self.end(number, JobEnd::NeverSent, events, counters);
+        }
+    }
+
+    /// Reads and writes what a connection is ready for.
+    pub fn ready(&mut self, now: Nanos, ready: Ready, events: &mut Vec<PeerEvent>, counters: &mut Counters) {
+        let Source::Peer(number) = ready.source else { return };
+        let Some(c) = self.connections.get_mut(&number) else { return };
+        if let State::Connecting(job) = c.state {
+            let up =
+                matches!(c.stream.socket().take_error(), Ok(None)) && c.stream.socket().peer_addr().is_ok();
+            if !up {
+                return self.end(number, JobEnd::NeverSent, events, counters);
+            }
+            c.state = State::Busy(job);
+            return self.write(number, events, counters);
+        }
+        if ready.readable {
+            self.read(number, now, events, counters);
+        }
+        if ready.writable {
+            self.write(number, events, counters);
+        }
+    }
+
+    fn write(&mut self, number: u64, events: &mut Vec<PeerEvent>, counters: &mut Counters) {
+        let Some(c) = self.connections.get_mut(&number) else { return };
+        while c.written < c.output.len() {
+            match c.stream.socket().write(&c.output[c.written..]) {
+                Ok(0) => return self.end(number, JobEnd::NeverSent, events, counters),
+                Ok(n) => c.written += n,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return self.end(number, JobEnd::NeverSent, events, counters),
+            }
+        }
+        let unsent = c.written < c.output.len();
+        if c.stream.interest(true, unsent).is_err() {
+            let end = c.broken();
+            self.end(number, end, events, counters);
+        }
+    }
+
+    fn read(&mut self, number: u64, now: Nanos, events: &mut Vec<PeerEvent>, counters: &mut Counters) {
+        let Some(c) = self.connections.get_mut(&number) else { return };
+        let held = c.input.len();
+        c.input.resize(held + READ_SIZE, 0);
+        let got = c.stream.socket().read(&mut c.input[held..]);
+        c.input.truncate(held + *got.as_ref().unwrap_or(&0));
+        match got {
+            Ok(0) => {
+                let end = c.broken();
+                return self.end(number, end, events, counters);
+            }
+            Ok(_) => {}
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => return,
+            Err(_) => {
+                let end = c.broken();
+                return self.end(number, end, events, counters);
+            }
+        }
+        let Some(job) = c.job() else {
+            // Something comes that nobody asked for: whose answer it would be taken for is unknown.
+            return self.end(number, JobEnd::Broken, events, counters);
+        };
+        match read_reply(&c.input) {
+            Ok(None) if c.input.len() < MESSAGE_MAX => {}
+            Ok(Some((reply, length))) if length == c.input.len() && c.written == c.output.len() => {
+                c.state = State::Idle { since: now };
+                (c.input, c.output, c.written) = (Vec::new(), Vec::new(), 0);
+                self.jobs.remove(&job);
+                if let Some(peer) = self.peers.get_mut(&c.server) {
+                    peer.idle.push(number);
+                }
+                events.push(PeerEvent { job, end: JobEnd::Reply(reply) });
+            }
+            Ok(Some((reply, _))) => {
+                // The reply came early or has something behind it: good for this job, but not for another.
+                self.remove(number, counters);
+                events.push(PeerEvent { job, end: JobEnd::Reply(reply) });
+            }
+            Ok(None) | Err(_) => {
+                log::warn!("a peer's reply can't be read: the connection is closed");
+                let end = c.broken();
+                self.end(number, end, events, counters);
+            }
+        }
+    }
+
+    /// Closes a connection and says how its job ended.
+    fn end(&mut self, number: u64, end: JobEnd, events: &mut Vec<PeerEvent>, counters: &mut Counters) {
+        if let Some(job) = self.remove(number, counters) {
+            events.push(PeerEvent { job, end });
+        }
+    }
+
+    /// Closes a connection; its job, if it had one, is over.
+    fn remove(&mut self, number: u64, counters: &mut Counters) -> Option<Job> {
+        let c = self.connections.remove(&number)?;
+        counters.peers_closed += 1;
+        if let Some(peer) = self.peers.get_mut(&c.server) {
+            peer.idle.retain(|n| *n != number);
+            peer.connections -= 1;
+            // Of a peer that left the list nothing is kept once its last connection is closed.
+            if peer.connections == 0 && peer.address.is_none() {
+                self.peers.remove(&c.server);
+            }
+        }
+        let job = c.job()?;
+        self.jobs.remove(&job);
+        Some(job)
+    }
+
+    /// The peer is gone: nothing new can be sent to it.
+    pub fn forget(&mut self, server: ServerId) {
+        if let Some(peer) = self.peers.get_mut(&server) {
+            peer.address = None;
+            if peer.connections == 0 {
+                self.peers.remove(&server);
+            }
+        }
+    }
+
+    /// The peers with an address.
+    pub fn listed(&self) -> Vec<ServerId> {
+        self.peers.iter().filter(|(_, p)| p.address.is_some()).map(|(id, _)| *id).collect()
+    }
+
+    /// Closes the idle connections to a peer.
+    pub fn close_idle(&mut self, server: ServerId, counters: &mut Counters) {
+        let idle = self.peers.get_mut(&server).map(|p| std::mem::take(&mut p.idle)).unwrap_or_default();
+        for number in idle {
+            self.remove(number, counters);
+        }
+    }
+
+    /// Closes connections that have stood idle for long.
+    pub fn sweep(&mut self, now: Nanos, counters: &mut Counters) {
+        let old = |c: &PeerConnection| matches!(c.state, State::Idle { since } if now.saturating_sub(since) >= self.idle_time.max(MS));
+        let old: Vec<u64> = self.connections.iter().filter(|(_, c)| old(c)).map(|(n, _)| *n).collect();
+        for number in old {
+            self.remove(number, counters);
+        }
+    }
+}
+
+/// Whether an idle connection still stands and nothing has come on it.
+fn still_open(c: &PeerConnection) -> bool {
+    let mut byte = [0];
+    matches!(c.stream.socket().peek(&mut byte), Err(e) if e.kind() == ErrorKind::WouldBlock)
+}
--- /dev/null
+++ b/balancer/src/poll.rs
@@ -0,0 +1,163 @@
+//! The one wrapper round `polling`: sockets are watched as long as they live, and no longer.
+
+use polling::{AsSource, Event, Events, PollMode, Poller};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// What a non-blocking connect answers while it is under way (Linux; std has no stable name for it).
+const EINPROGRESS: i32 = 115;
+
+/// Begins a connection without waiting for it: once the socket is writable, it is up or has failed.
+pub fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    socket.set_tcp_nodelay(true)?;
+    match socket.connect(&address.into()) {
+        Err(e) if e.raw_os_error() != Some(EINPROGRESS) => Err(e),
+        _ => Ok(socket.into()),
+    }
+}
+
+/// Whose socket became ready.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The socket on which clients connect.
+    Listener,
+    /// A client connection, by its number.
+    Client(u64),
+    /// A connection to a peer, by its number.
+    Peer(u64),
+    /// A connection to discovery, by its number.
+    Discovery(u64),
+    /// The request to stop.
+    Stop,
+    /// The request for the counters.
+    Report,
+}
+
+impl Source {
+    const KINDS: u64 = 6;
+
+    fn key(self) -> usize {
+        let (number, kind) = match self {
+            Source::Listener => (0, 0),
+            Source::Client(n) => (n, 1),
+            Source::Peer(n) => (n, 2),
+            Source::Discovery(n) => (n, 3),
+            Source::Stop => (0, 4),
+            Source::Report => (0, 5),
+        };
+        (number * Self::KINDS + kind) as usize
+    }
+
+    fn of(key: usize) -> Self {
+        let number = key as u64 / Self::KINDS;
+        match key as u64 % Self::KINDS {
+            0 => Source::Listener,
+            1 => Source::Client(number),
+            2 => Source::Peer(number),
+            3 => Source::Discovery(number),
+            4 => Source::Stop,
+            _ => Source::Report,
+        }
+    }
+}
+
+/// What one socket is ready for. A broken one is reported as ready for both.
+#[derive(Clone, Copy, Debug)]
+pub struct Ready {
+    /// Whose socket.
+    pub source: Source,
+    /// It can be read, or has ended.
+    pub readable: bool,
+    /// It can be written, or has broken.
+    pub writable: bool,
+}
+
+/// The set of watched sockets.
+#[derive(Clone)]
+pub struct Poll {
+    poller: Rc<Poller>,
+}
+
+impl Poll {
+    /// An empty set.
+    pub fn new() -> io::Result<Self> {
+        Ok(Poll { poller: Rc::new(Poller::new()?) })
+    }
+
+    /// Watches a socket until the returned guard is dropped.
+    #[allow(unsafe_code)]
+    pub fn watch<S: AsSource>(
+        &self,
+        socket: S,
+        source: Source,
+        readable: bool,
+        writable: bool,
+    ) -> io::Result<Watched<S>> {
+        let interest = Event::new(source.key(), readable, writable);
+        // SAFETY: the socket must leave the poller before it is closed. It moves into `Watched`, which owns it,
+        // never lets it out, and removes it from the poller when dropped, before the socket itself is dropped.
+        unsafe {
+            self.poller.add_with_mode(&socket.source(), interest, PollMode::Level)?;
+        }
+        Ok(Watched { socket, source, interest: (readable, writable), poller: Rc::clone(&self.poller) })
+    }
+
+    /// Waits until a socket is ready or the time is over, and appends what is ready.
+    pub fn wait(
+        &self,
+        events: &mut Events,
+        timeout: Option<Duration>,
+        ready: &mut Vec<Ready>,
+    ) -> io::Result<()> {
+        events.clear();
+        match self.poller.wait(events, timeout) {
+            Ok(_) => {}
+            // A signal came in; its pipe is ready at the next turn.
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => return Ok(()),
+            Err(e) => return Err(e),
+        }
+        ready.extend(events.iter().map(|e| Ready {
+            source: Source::of(e.key),
+            readable: e.readable,
+            writable: e.writable,
+        }));
+        Ok(())
+    }
+}
+
+/// A socket that is watched as long as this lives.
+pub struct Watched<S: AsSource> {
+    socket: S,
+    source: Source,
+    interest: (bool, bool),
+    poller: Rc<Poller>,
+}
+
+impl<S: AsSource> Watched<S> {
+    /// The socket.
+    pub fn socket(&self) -> &S {
+        &self.socket
+    }
+
+    /// Changes what the socket is watched for.
+    pub fn interest(&mut self, readable: bool, writable: bool) -> io::Result<()> {
+        if self.interest != (readable, writable) {
+            let event = Event::new(self.source.key(), readable, writable);
+            self.poller.modify_with_mode(&self.socket, event, PollMode::Level)?;
+            self.interest = (readable, writable);
+        }
+        Ok(())
+    }
+}
+
+impl<S: AsSource> Drop for Watched<S> {
+    fn drop(&mut self) {
+        // It fails only for a socket that is not in the set; then there is nothing to take out.
+        let _ = self.poller.delete(&self.socket);
+    }
+}
--- /dev/null
+++ b/balancer/src/request.rs
@@ -0,0 +1,100 @@
+//! The neutral request context: what every front's requests have in common, whatever protocol they came by.
+
+use finchyard::{AttemptNo, Nanos, RequestId, ServerId};
+use std::collections::BTreeMap;
+
+/// The right to answer one request, and the duty. It can't be copied, and answering uses it up: so nothing is
+/// answered twice.
+#[derive(Debug)]
+pub struct Ticket {
+    /// The request.
+    pub request: RequestId,
+    /// The client connection that waits for the answer.
+    pub connection: u64,
+}
+
+/// A request as a front hands it in.
+#[derive(Debug)]
+pub struct Incoming {
+    /// The duty to answer it.
+    pub ticket: Ticket,
+    /// Its class, by name.
+    pub class: String,
+    /// Its tenant, by name.
+    pub tenant: Option<String>,
+    /// How long the client waits.
+    pub patience: Nanos,
+    /// What is passed on.
+    pub order: Order,
+}
+
+/// What a peer is to do, in the client's words.
+#[derive(Debug)]
+pub struct Order {
+    /// The value of a write; a read has none.
+    pub value: Option<Vec<u8>>,
+    /// What it concerns.
+    pub key: Vec<u8>,
+    /// The client's id for it.
+    pub id: Vec<u8>,
+    /// The client's names and values but for its patience, which is told anew with each try.
+    pub fields: Vec<(String, String)>,
+}
+
+impl Order {
+    /// Bytes that it holds.
+    pub fn size(&self) -> usize {
+        let fields: usize = self.fields.iter().map(|(name, value)| name.len() + value.len()).sum();
+        self.value.as_ref().map_or(0, Vec::len) + self.key.len() + self.id.len() + fields
+    }
+}
+
+/// The final answer of a request.
+#[derive(Debug, PartialEq, Eq)]
+pub enum FinalAnswer {
+    /// The value or receipt that a peer gave for this request.
+    Served(Vec<u8>),
+    /// Turned away: trying again is harmless, after this long if it is not 0.
+    Refused {
+        /// The advice.
+        retry_after: Nanos,
+    },
+    /// Failed.
+    Failed,
+}
+
+/// One attempt at a peer.
+#[derive(Debug)]
+pub struct Try {
+    /// Where it went.
+    pub server: ServerId,
+    /// When.
+    pub sent: Nanos,
+}
+
+/// A request from its arrival until it is answered and nothing of it is out any more.
+#[derive(Debug)]
+pub struct RequestContext {
+    /// Until it is answered or the client has left.
+    pub owed: Option<Ticket>,
+    /// What is passed on.
+    pub order: Order,
+    /// When the client gives up.
+    pub deadline: Nanos,
+    /// Tries that are out.
+    pub out: BTreeMap<AttemptNo, Try>,
+    /// How many tries there were.
+    pub tries: u32,
+}
+
+impl RequestContext {
+    /// The context of a request that has just come.
+    pub fn new(ticket: Ticket, order: Order, deadline: Nanos) -> Self {
+        RequestContext { owed: Some(ticket), order, deadline, out: BTreeMap::new(), tries: 0 }
+    }
+
+    /// Nothing is owed and nothing expected any more.
+    pub fn is_over(&self) -> bool {
+        self.owed.is_none() && self.out.is_empty()
+    }
+}
--- /dev/null
+++ b/balancer/src/tries.rs
@@ -0,0 +1,275 @@
+//! The open requests and their tries: what the module sends is begun here, and what becomes of it is told in
+//! the module's outcomes. Nothing is sent again from here; tries are the module's.
+
+use crate::counters::Counters;
+use crate::peers::{Job, JobEnd, Outgoing, PeerEvent};
+use crate::request::{FinalAnswer, Incoming, RequestContext, Ticket, Try};
+use crate::resp::{Reply, write_command};
+use crate::timers::MS;
+use finchyard::{AttemptNo, CacheNote, Ended, Event, Load, Nanos, Outcome, RequestId, ServerId};
+use std::collections::HashMap;
+
+/// A final answer that is due now.
+pub type Answer = (Ticket, FinalAnswer);
+
+/// All requests that are owed an answer or have tries out, and the probes that are out.
+#[derive(Default)]
+pub struct Tries {
+    contexts: HashMap<RequestId, RequestContext>,
+    probes: HashMap<u64, ServerId>,
+    next_probe: u64,
+    /// Bytes of all contexts.
+    held: usize,
+}
+
+impl Tries {
+    /// How many requests are open.
+    pub fn open(&self) -> usize {
+        self.contexts.len()
+    }
+
+    /// Bytes that the open requests hold.
+    pub fn held(&self) -> usize {
+        self.held
+    }
+
+    /// Takes a request.
+    pub fn take(&mut self, now: Nanos, incoming: Incoming) {
+        let deadline = now.saturating_add(incoming.patience);
+        self.held += incoming.order.size();
+        let id = incoming.ticket.request;
+        self.contexts.insert(id, RequestContext::new(incoming.ticket, incoming.order, deadline));
+    }
+
+    /// The client has left: nothing is owed any more.
+    pub fn gone(&mut self, request: RequestId) {
+        if let Some(context) = self.contexts.get_mut(&request) {
+            context.owed = None;
+        }
+        self.clear(request);
+    }
+
+    /// The module's own final answer.
+    pub fn answer(&mut self, request: RequestId, answer: FinalAnswer) -> Option<Answer> {
+        let ticket = self.contexts.get_mut(&request)?.owed.take()?;
+        self.clear(request);
+        Some((ticket, answer))
+    }
+
+    fn clear(&mut self, request: RequestId) {
+        if self.contexts.get(&request).is_some_and(RequestContext::is_over)
+            && let Some(context) = self.contexts.remove(&request)
+        {
+            self.held -= context.order.size();
+        }
+    }
+
+    /// Begins a try. One that has no request or no time any more is never sent, and the module is told so.
+    pub fn start(
+        &mut self,
+        now: Nanos,
+        request: RequestId,
+        server: ServerId,
+        timeout: Option<Nanos>,
+        counters: &mut Counters,
+    ) -> Result<Outgoing, Box<Event>> {
+        let moot = |attempt, finished| {
+            Box::new(ended(request, attempt, (server, now), now, Outcome::Moot, finished))
+        };
+        let Some(context) = self.contexts.get_mut(&request) else { return Err(moot(AttemptNo(0), true)) };
+        let attempt = AttemptNo(context.tries);
+        context.tries += 1;
+        let until = timeout.map_or(context.deadline, |t| now.saturating_add(t).min(context.deadline));
+        if context.owed.is_none() || until < now + MS {
+            counters.try_moot += 1;
+            return Err(moot(attempt, context.owed.is_none()));
+        }
+        counters.tries += 1;
+        counters.copies += u64::from(!context.out.is_empty());
+        context.out.insert(attempt, Try { server, sent: now });
+        let order = &context.order;
+        let mut fields = String::new();
+        for (name, value) in &order.fields {
+            fields.push_str(&format!("{name}={value},"));
+        }
+        fields.push_str(&format!("d={}", (until - now) / MS));
+        let command = match &order.value {
+            None => write_command(&[b"C.GET", &order.key, &order.id, fields.as_bytes()]),
+            Some(value) => write_command(&[b"C.SET", &order.key, &order.id, fields.as_bytes(), value]),
+        };
+        Ok(Outgoing { job: Job::Try(request, attempt), server, until, command })
+    }
+
+    /// A try is over without an answer: by its time-out, by the module's will or for want of a connection.
+    pub fn give_up(
+        &mut self,
+        now: Nanos,
+        request: RequestId,
+        attempt: AttemptNo,
+        outcome: Outcome,
+        counters: &mut Counters,
+    ) -> Option<Event> {
+        let context = self.contexts.get_mut(&request)?;
+        let Try { server, sent } = context.out.remove(&attempt)?;
+        let finished = context.owed.is_none();
+        self.clear(request);
+        count(outcome, counters);
+        Some(ended(request, attempt, (server, sent), now, outcome, finished))
+    }
+
+    /// Begins a probe.
+    pub fn probe(&mut self, server: ServerId, counters: &mut Counters) -> Job {
+        self.next_probe += 1;
+        self.probes.insert(self.next_probe, server);
+        counters.probes += 1;
+        Job::Probe(self.next_probe)
+    }
+
+    /// A probe has had its time.
+    pub fn probe_due(&mut self, probe: u64) -> Option<Event> {
+        let server = self.probes.remove(&probe)?;
+        Some(Event::Probed { server, outcome: Outcome::Timeout, load: None })
+    }
+
+    /// What a peer did with a job, as the module is told it, and the final answer that comes with it.
+    pub fn finished(
+        &mut self,
+        now: Nanos,
+        PeerEvent { job, end }: PeerEvent,
+        counters: &mut Counters,
+    ) -> (Option<Event>, Option<Answer>) {
+        let (request, attempt) = match job {
+            Job::Try(request, attempt) => (request, attempt),
+            Job::Probe(probe) => {
+                let told = self.probes.remove(&probe).map(|server| probed(server, end));
+                return (told, None);
+            }
+        };
+        let (outcome, served) = match end {
+            JobEnd::Reply(reply) => read_outcome(reply),
+            JobEnd::NeverSent => (Outcome::ConnectFailed, None),
+            JobEnd::Broken => (Outcome::Reset, None),
+            JobEnd::NoPlace => (Outcome::Moot, None),
+        };
+        let Some(Served { value, note, load }) = served else {
+            return (self.give_up(now, request, attempt, outcome, counters), None);
+        };
+        // The first answer is the request's; of a copy that was served too only the outcome is told.
+        let ticket = self.contexts.get_mut(&request).and_then(|c| c.owed.take());
+        let event = self.give_up(now, request, attempt, outcome, counters).map(|event| match event {
+            Event::Ended(end) => Event::Ended(Ended { note, load, ..end }),
+            other => other,
+        });
+        (event, ticket.map(|ticket| (ticket, FinalAnswer::Served(value))))
+    }
+}
+
+fn count(outcome: Outcome, counters: &mut Counters) {
+    *match outcome {
+        Outcome::Ok => &mut counters.try_ok,
+        Outcome::Error | Outcome::Unknown | Outcome::Miss => &mut counters.try_error,
+        Outcome::Full => &mut counters.try_full,
+        Outcome::Timeout => &mut counters.try_timeout,
+        Outcome::ConnectFailed => &mut counters.try_connect_failed,
+        Outcome::Reset => &mut counters.try_reset,
+        Outcome::Cancelled => &mut counters.try_cancelled,
+        Outcome::Moot => &mut counters.try_moot,
+    } += 1;
+}
+
+fn ended(
+    request: RequestId,
+    attempt: AttemptNo,
+    (server, sent): (ServerId, Nanos),
+    now: Nanos,
+    outcome: Outcome,
+    finished: bool,
+) -> Event {
+    let latency = now.saturating_sub(sent);
+    Event::Ended(Ended { request, attempt, server, outcome, latency, finished, note: None, load: None })
+}
+
+/// What a peer made for a request.
+struct Served {
+    value: Vec<u8>,
+    note: Option<CacheNote>,
+    load: Option<Load>,
+}
+
+/// The protocol's table of what comes back.
+fn read_outcome(reply: Reply) -> (Outcome, Option<Served>) {
+    let members = match reply {
+        Reply::Array(Some(members)) => members,
+        Reply::Error(text) if text.split(' ').next() == Some("BUSY") => return (Outcome::Full, None),
+        Reply::Error(text) => {
+            if text != "ERR failed" {
+                log::warn!("a peer answers: {text}");
+            }
+            return (Outcome::Error, None);
+        }
+        _ => return (Outcome::Unknown, None),
+    };
+    let mut members = members.into_iter();
+    // An array without a value serves nobody; what it stands for may have run.
+    let Some(Reply::Bulk(Some(value))) = members.next() else { return (Outcome::Unknown, None) };
+    let mut text = || match members.next() {
+        Some(Reply::Bulk(Some(text))) => String::from_utf8(text).ok(),
+        Some(Reply::Status(text)) => Some(text),
+        _ => None,
+    };
+    let note = match text().as_deref() {
+        Some("hit") => Some(CacheNote::Hit),
+        Some("miss") => Some(CacheNote::Miss),
+        Some("pending") => Some(CacheNote::MissPending),
+        _ => None,
+    };
+    let load = text().map(|text| read_load(&text));
+    (Outcome::Ok, Some(Served { value, note, load }))
+}
+
+/// A load report: names and values, parted by commas.
+fn read_load(text: &str) -> Load {
+    let pairs = text.split([',', ' ']).filter_map(|pair| pair.split_once('='));
+    finchyard_settings::load(pairs.filter_map(|(name, value)| Some((name, value.parse().ok()?))))
+}
+
+fn probed(server: ServerId, end: JobEnd) -> Event {
+    let (outcome, load) = match end {
+        JobEnd::Reply(Reply::Status(_)) => (Outcome::Ok, None),
+        JobEnd::Reply(Reply::Bulk(Some(report))) => {
+            (Outcome::Ok, Some(read_load(&String::from_utf8_lossy(&report))))
+        }
+        JobEnd::Reply(_) => (Outcome::Error, None),
+        JobEnd::NeverSent => (Outcome::ConnectFailed, None),
+        JobEnd::Broken => (Outcome::Reset, None),
+        JobEnd::NoPlace => (Outcome::Moot, None),
+    };
+    Event::Probed { server, outcome, load }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn replies_map_to_outcomes() {
+        let bulk = |text: &str| Reply::Bulk(Some(text.into()));
+        let cases = [
+            (Reply::Error("BUSY".into()), Outcome::Full),
+            (Reply::Error("BUSY 20".into()), Outcome::Full),
+            (Reply::Error("BUSYBODY".into()), Outcome::Error),
+            (Reply::Error("ERR failed".into()), Outcome::Error),
+            (Reply::Array(None), Outcome::Unknown),
+            (Reply::Array(Some(vec![Reply::Bulk(None)])), Outcome::Unknown),
+            (bulk("value"), Outcome::Unknown),
+            (Reply::Array(Some(vec![bulk("value")])), Outcome::Ok),
+        ];
+        for (reply, outcome) in cases {
+            assert_eq!(read_outcome(reply.clone()).0, outcome, "{reply:?}");
+        }
+        let reply = Reply::Array(Some(vec![bulk("v"), bulk("pending"), bulk("depth=3,new=1,x0=oops")]));
+        let served = read_outcome(reply).1.expect("it is served");
+        assert_eq!((served.value.as_slice(), served.note), (&b"v"[..], Some(CacheNote::MissPending)));
+        assert_eq!(served.load, Some(Load { queue: Some(3.0), ..Load::default() }));
+    }
+}
--- /dev/null
+++ b/balancer/src/upstream_group.rs
@@ -0,0 +1,334 @@
+//! The upstream group: discovery's list of peers, and the watch that keeps it fresh.
+
+use crate::counters::Counters;
+use crate::poll::{Poll, Ready, Source, Watched, connect};
+use crate::timers::{Due, MS, Timers};
+use finchyard::Nanos;
+use serde::Deserialize;
+use serde_json::Value;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+/// A watch is broken when nothing has come for this long: an empty line is due every 2 s.
+const SILENCE: Nanos = 5_000 * MS;
+/// The longest line, and so the largest list.
+const LINE_MAX: usize = 4 << 20;
+/// One read takes at most this much.
+const READ_SIZE: usize = 32 * 1024;
+/// The most headers of an answer.
+const HEADERS_MAX: usize = 32;
+
+/// The list, or a change of it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct HostList {
+    /// Its version.
+    pub seq: u64,
+    /// Whether these are all hosts.
+    #[serde(default)]
+    pub whole: bool,
+    /// The hosts, or those that changed.
+    #[serde(default)]
+    pub hosts: Vec<Host>,
+}
+
+/// A peer as discovery knows it. Only its name must be there.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Host {
+    /// Its name, the same at every balancer.
+    pub host: String,
+    /// Its address, this balancer's own.
+    #[serde(default)]
+    pub dial: String,
+    /// Its data centre.
+    #[serde(default)]
+    pub site: String,
+    /// Its kind of machine.
+    #[serde(default)]
+    pub class: String,
+    /// Its cell.
+    #[serde(default)]
+    pub block: Value,
+    /// `in_service`, `terminating` or `terminated`.
+    #[serde(default = "in_service")]
+    pub health: String,
+    /// Its stated size.
+    #[serde(default = "full_share")]
+    pub share: f64,
+    /// Unix time of its start in milliseconds; 0 for long ago.
+    #[serde(default)]
+    pub born_ms: f64,
+}
+
+fn in_service() -> String {
+    "in_service".into()
+}
+
+fn full_share() -> f64 {
+    1.0
+}
+
+/// What became of a watch.
+#[derive(Debug)]
+pub enum GroupEvent {
+    /// News of the list.
+    News(HostList),
+    /// The watch ended or never began.
+    Failed,
+}
+
+/// How the answer's end is known.
+enum Body {
+    Chunked { left: usize },
+    Length(usize),
+    UntilClose,
+}
+
+struct Call {
+    number: u64,
+    stream: Watched<TcpStream>,
+    request: Vec<u8>,
+    written: usize,
+    input: Vec<u8>,
+    body: Option<Body>,
+    /// What of the answer's text has come since the last whole line.
+    text: Vec<u8>,
+    heard: Nanos,
+}
+
+/// Discovery, and what it last said.
+pub struct UpstreamGroup {
+    poll: Poll,
+    address: SocketAddr,
+    call: Option<Call>,
+    next_call: u64,
+    /// The version up to which all changes are known.
+    seq: Option<u64>,
+}
+
+impl UpstreamGroup {
+    /// Nothing is asked yet; `seq` is the version of the list that is known from before.
+    pub fn new(poll: &Poll, address: SocketAddr, seq: Option<u64>) -> Self {
+        UpstreamGroup { poll: poll.clone(), address, call: None, next_call: 0, seq }
+    }
+
+    /// Begins a watch, unless one is open.
+    pub fn watch(&mut self, now: Nanos, timers: &mut Timers, counters: &mut Counters) -> Option<GroupEvent> {
+        if self.call.is_some() {
+            return None;
+        }
+        counters.list_calls += 1;
+        let number = self.next_call;
+        self.next_call += 1;
+        match self.connect(number) {
+            Ok(stream) => {
+                let since = self.seq.map_or(String::new(), |seq| format!("&since={seq}"));
+                let request = format!(
+                    "GET /registry/instances?follow=1{since} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
+                    self.address
+                );
+                self.call = Some(Call {
+                    number,
+                    stream,
+                    request: request.into_bytes(),
+                    written: 0,
+                    input: Vec::new(),
+                    body: None,
+                    text: Vec::new(),
+                    heard: now,
+                });
+                timers.set(now + SILENCE, Due::Discovery(number));
+                None
+            }
+            Err(e) => {
+                log::warn!("discovery at {}: {e}", self.address);
+                counters.list_failed += 1;
+                Some(GroupEvent::Failed)
+            }
+        }
+    }
+
+    fn connect(&self, number: u64) -> std::io::Result<Watched<TcpStream>> {
+        self.poll.watch(connect(self.address)?, Source::Discovery(number), false, true)
+    }
+
+    /// Reads and writes what the watch is ready for.
+    pub fn ready(&mut self, now: Nanos, ready: Ready, events: &mut Vec<GroupEvent>, counters: &mut Counters) {
+        let Some(call) = self.call.as_mut().filter(|c| Source::Discovery(c.number) == ready.source) else {
+            return;
+        };
+        let result = if ready.writable && call.written < call.request.len() { call.write() } else { Ok(()) };
+        let result = match result {
+            Ok(()) if ready.readable => call.read(now),
+            other => other,
+        };
+        // Whole lines that came before an end or an error still count.
+        let result = self.lines(events, counters).and(result);
+        if let Err(problem) = result {
+            log::warn!("discovery at {}: {problem}", self.address);
+            self.fail(events, counters);
+        }
+    }
+
+    fn fail(&mut self, events: &mut Vec<GroupEvent>, counters: &mut Counters) {
+        self.call = None;
+        counters.list_failed += 1;
+        events.push(GroupEvent::Failed);
+    }
+
+    /// Gives up a watch that has been silent for long: a machine that is cut off ends no connection.
+    pub fn due(
+        &mut self,
+        now: Nanos,
+        number: u64,
+        timers: &mut Timers,
+        events: &mut Vec<GroupEvent>,
+        counters: &mut Counters,
+    ) {
+        let Some(call) = self.call.as_ref().filter(|c| c.number == number) else { return };
+        if now.saturating_sub(call.heard) < SILENCE {
+            return timers.set(call.heard + SILENCE, Due::Discovery(number));
+        }
+        log::warn!("discovery at {}: silent", self.address);
+        self.fail(events, counters);
+    }
+
+    /// Takes the whole lines of the text that has come.
+    fn lines(&mut self, events: &mut Vec<GroupEvent>, counters: &mut Counters) -> Result<(), String> {
+        let Some(call) = self.call.as_mut() else { return Ok(()) };
+        let mut at = 0;
+        while let Some(end) = call.text[at..].iter().position(|b| *b == b'\n') {
+            let line = call.text[at..at + end].trim_ascii();
+            at += end + 1;
+            if line.is_empty() {
+                continue;
+            }
+            let mut json = serde_json::Deserializer::from_slice(line);
+            let list: HostList = serde_path_to_error::deserialize(&mut json)
+                .map_err(|e| format!("line of the list: {}: {}", e.path(), e.inner()))?;
+            self.seq = Some(list.seq);
+            counters.list_news += 1;
+            events.push(GroupEvent::News(list));
+        }
+        call.text.drain(..at);
+        if call.text.len() > LINE_MAX { Err("line of the list: too long".into()) } else { Ok(()) }
+    }
+}
+
+impl Call {
+    fn write(&mut self) -> Result<(), String> {
+        if let Ok(Some(e)) = self.stream.socket().take_error() {
+            return Err(format!("connecting: {e}"));
+        }
+        while self.written < self.request.len() {
+            match self.stream.socket().write(&self.request[self.written..]) {
+                Ok(n) => self.written += n,
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => break,
+                Err(e) => return Err(format!("writing: {e}")),
+            }
+        }
+        let unsent = self.written < self.request.len();
+        self.stream.interest(true, unsent).map_err(|e| format!("watching: {e}"))
+    }
+
+    fn read(&mut self, now: Nanos) -> Result<(), String> {
+        let held = self.input.len();
+        self.input.resize(held + READ_SIZE, 0);
+        let got = self.stream.socket().read(&mut self.input[held..]);
+        self.input.truncate(held + *got.as_ref().unwrap_or(&0));
+        match got {
+            Ok(0) => return Err("the watch has ended".into()),
+            Ok(_) => self.heard = now,
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => return Ok(()),
+            Err(e) => return Err(format!("reading: {e}")),
+        }
+        if self.body.is_none() {
+            self.head()?;
+        }
+        self.decode()
+    }
+
+    /// Reads the status and headers, once they are all there.
+    fn head(&mut self) -> Result<(), String> {
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+        let mut response = httparse::Response::new(&mut headers);
+        let length = match response.parse(&self.input) {
+            Ok(httparse::Status::Complete(length)) => length,
+            Ok(httparse::Status::Partial) if self.input.len() < LINE_MAX => return Ok(()),
+            Ok(httparse::Status::Partial) => return Err("headers: too long".into()),
+            Err(e) => return Err(format!("headers: {e}")),
+        };
+        if response.code != Some(200) {
+            return Err(format!("status {}", response.code.unwrap_or(0)));
+        }
+        let value = |name: &str| {
+            let header = response.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name))?;
+            std::str::from_utf8(header.value).ok().map(str::trim)
+        };
+        self.body = Some(if value("transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case("chunked")) {
+            Body::Chunked { left: 0 }
+        } else if let Some(length) = value("content-length") {
+            Body::Length(length.parse().map_err(|_| format!("content-length: \"{length}\""))?)
+        } else {
+            Body::UntilClose
+        });
+        self.input.drain(..length);
+        Ok(())
+    }
+
+    /// Moves what has come of the body to the text.
+    fn decode(&mut self) -> Result<(), String> {
+        loop {
+            match &mut self.body {
+                None => return Ok(()),
+                Some(Body::UntilClose) => {
+                    self.text.append(&mut self.input);
+                    return Ok(());
+                }
+                Some(Body::Length(left)) => {
+                    let part = self.input.len().min(*left);
+                    self.text.extend(self.input.drain(..part));
+                    *left -= part;
+                    if *left == 0 {
+                        // A plain answer may lack the last line's end.
+                        self.text.push(b'\n');
+                        return Err("the answer has ended".into());
+                    }
+                    return Ok(());
+                }
+                Some(Body::Chunked { left }) if *left > 2 => {
+                    let part = self.input.len().min(*left - 2);
+                    self.text.extend(self.input.drain(..part));
+                    *left -= part;
+                    if *left > 2 {
+                        return Ok(());
+                    }
+                }
+                Some(Body::Chunked { left }) if *left > 0 => {
+                    // The line end behind a chunk.
+                    let part = self.input.len().min(*left);
+                    let end = &b"\r\n"[2 - *left..][..part];
+                    if &self.input[..part] != end {
+                        return Err("chunk without its end".into());
+                    }
+                    self.input.drain(..part);
+                    *left -= part;
+                    if *left > 0 {
+                        return Ok(());
+                    }
+                }
+                Some(Body::Chunked { left }) => match httparse::parse_chunk_size(&self.input) {
+                    Ok(httparse::Status::Complete((_, 0))) => return Err("the watch has ended".into()),
+                    Ok(httparse::Status::Complete((_, size))) if size > LINE_MAX as u64 => {
+                        return Err("chunk: too long".into());
+                    }
+                    Ok(httparse::Status::Complete((at, size))) => {
+                        self.input.drain(..at);
+                        *left = size as usize + 2;
+                    }
+                    Ok(httparse::Status::Partial) if self.input.len() < READ_SIZE => return Ok(()),
+                    Ok(httparse::Status::Partial) | Err(_) => return Err("chunk: no length".into()),
+                },
+            }
+        }
+    }
+}
--- a/wirehost/src/settings.rs
+++ b/settings/src/lib.rs
@@ -1,9 +1,13 @@
-//! The settings as they stand on the wire, and their translation.
+//! The settings as they stand in JSON, on the simulator's wire and in a balancer's configuration alike, and
+//! their translation into what the decision module is told.
+#![forbid(unsafe_code)]
 
-use finchyard::{Class, Discovery, Effect, Group, Limits, Nanos, Origin, Rules, Settings, Tenant};
+use finchyard::{
+    Class, Discovery, Effect, Group, Limits, Load, Nanos, Origin, Rules, Settings, SettingsError, Tenant,
+};
 use serde::Deserialize;
 
-/// The wire's settings; keys that are not named here are skipped, missing ones take a cautious default.
+/// The settings object; keys that are not named here are skipped, missing ones take a cautious default.
 #[derive(Deserialize, Default)]
 #[serde(default)]
 pub struct Setup {
@@ -38,6 +42,9 @@
     max_retry_after_ns: Nanos,
     second_copies: bool,
     max_attempts: Option<u32>,
+    conn_idle_ns: Option<Nanos>,
+    connect_timeout_ns: Option<Nanos>,
+    max_open: Option<usize>,
 }
 
 #[derive(Deserialize, Default)]
@@ -79,17 +86,70 @@
 }
 
 /// The names by which events of one instance speak of classes, tenants, zones and kinds.
+#[derive(Debug)]
 pub struct Names {
+    /// Request classes, in the order of [`Settings::classes`].
     pub classes: Vec<String>,
+    /// Tenants, in the order of [`Settings::tenants`].
     pub tenants: Vec<String>,
+    /// Data centres.
     pub zones: Vec<String>,
+    /// Kinds of machine.
     pub kinds: Vec<String>,
+    /// The columns of a load report.
     pub report: Vec<String>,
 }
 
+/// What only the network side needs of the settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Transport {
+    /// A peer closes a connection that has stood idle this long.
+    pub conn_idle: Nanos,
+    /// A connection that is not up within this has failed.
+    pub connect_timeout: Nanos,
+    /// The most requests that may be open at once.
+    pub max_open: usize,
+}
+
+const IDLE_DEFAULT: Nanos = 10_000_000_000;
+const CONNECT_DEFAULT: Nanos = 500_000_000;
+const OPEN_DEFAULT: usize = 10_000;
+
+/// A load report from its named values; unknown names are skipped, as are values that are no number.
+pub fn load<'a>(values: impl IntoIterator<Item = (&'a str, f64)>) -> Load {
+    let mut load = Load::default();
+    for (column, value) in values {
+        let value = Some(value).filter(|v| v.is_finite());
+        match column {
+            "concurrent" => load.in_flight = value,
+            "depth" => load.queue = value,
+            "load_share" => load.busy = value,
+            "mean_ms" => load.latency_ms = value,
+            "tps" => load.per_s = value,
+            "err_ps" => load.errors_per_s = value,
+            "x0" => load.hit_share = value,
+            "x1" => load.fetches = value,
+            _ => {}
+        }
+    }
+    load
+}
+
+/// The module's complaint about a setting, under the name that the key has in JSON.
+pub fn key_of(error: &SettingsError) -> String {
+    let renamed =
+        [("classes", "profiles"), ("deadline", "give_up_ns"), ("limits", "caps"), ("routers", "group_size")];
+    renamed.iter().fold(error.field.clone(), |key, (module, json)| key.replace(module, json))
+}
+
 impl Setup {
-    /// What the brain is told, and the names that only the wire uses.
-    pub fn translate(self) -> Result<(Settings, Names), String> {
+    /// What the brain is told, the names that only messages use, and what only the network side needs.
+    pub fn translate(self) -> Result<(Settings, Names, Transport), String> {
+        let transport = Transport {
+            conn_idle: self.caps.conn_idle_ns.unwrap_or(IDLE_DEFAULT),
+            connect_timeout: self.caps.connect_timeout_ns.unwrap_or(CONNECT_DEFAULT),
+            max_open: self.caps.max_open.unwrap_or(OPEN_DEFAULT),
+        };
         let names = Names {
             classes: self.profiles.iter().map(|p| p.name.clone()).collect(),
             tenants: self.accounts.iter().map(|a| a.name.clone()).collect(),
@@ -130,7 +190,7 @@
             },
             tick: self.step_ns,
         };
-        Ok((settings, names))
+        Ok((settings, names, transport))
     }
 }
 
--- a/wirehost/src/host.rs
+++ b/wirehost/src/host.rs
@@ -1,10 +1,10 @@
 //! Translation between lines of the wire and the events and actions of one brain for each instance.
 
-use crate::settings::{Names, Setup};
 use finchyard::{
     Action, AttemptNo, Brain, CacheNote, ClassId, Ended, Entry, Event, Key, ListScope, Load, Nanos,
     NewRequest, Outcome, Phase, RequestId, ServerId, TenantId, Token,
 };
+use finchyard_settings::{Names, Setup, load};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use std::collections::HashMap;
@@ -70,7 +70,9 @@
     fn load(&self, at: usize, names: &Names) -> Result<Option<Load>, String> {
         match self.get(at) {
             Value::Null => Ok(None),
-            Value::Array(values) => Ok(Some(load(values, &names.report))),
+            Value::Array(values) => Ok(Some(load(
+                names.report.iter().zip(values).filter_map(|(c, v)| Some((c.as_str(), v.as_f64()?))),
+            ))),
             _ => self.wrong("usage", "not a row"),
         }
     }
@@ -93,25 +95,6 @@
     [&hex[..8], &hex[8..12], &hex[12..16], &hex[16..20], &hex[20..]].join("-")
 }
 
-fn load(values: &[Value], columns: &[String]) -> Load {
-    let mut load = Load::default();
-    for (column, value) in columns.iter().zip(values) {
-        let value = value.as_f64().filter(|v| v.is_finite());
-        match column.as_str() {
-            "concurrent" => load.in_flight = value,
-            "depth" => load.queue = value,
-            "load_share" => load.busy = value,
-            "mean_ms" => load.latency_ms = value,
-            "tps" => load.per_s = value,
-            "err_ps" => load.errors_per_s = value,
-            "x0" => load.hit_share = value,
-            "x1" => load.fetches = value,
-            _ => {}
-        }
-    }
-    load
-}
-
 fn outcome(name: &str) -> Outcome {
     match name {
         "delivered" => Outcome::Ok,
@@ -266,7 +249,7 @@
             };
             let Some(seed) = seed else { return f.wrong("prng", "not a number") };
             let setup = Setup::deserialize(f.get(2)).map_err(|e| format!("enlist.setup: {e}"))?;
-            let (settings, names) = setup.translate().map_err(|e| format!("enlist.setup: {e}"))?;
+            let (settings, names, _) = setup.translate().map_err(|e| format!("enlist.setup: {e}"))?;
             let brain = Brain::new(settings, seed, now).map_err(|e| format!("enlist.setup: {e}"))?;
             self.instances.insert(router.into(), Instance { brain, names });
             return Ok(());
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -3,7 +3,6 @@
 #![forbid(unsafe_code)]
 
 mod host;
-mod settings;
 
 use std::io::{BufRead, Write};
 use std::process::ExitCode;
