--- a/balancer/src/event_loop.rs
+++ b/balancer/src/event_loop.rs
@@ -14,7 +14,7 @@
 use finchyard::{Action, Brain, Event, Nanos, Outcome, Phase};
 use polling::Events;
 use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::io::{self, Read, Write};
 use std::os::unix::net::UnixStream;
 
@@ -201,21 +201,29 @@
                 self.timers.set(now + SWEEP, Due::Sweep);
             }
             Due::StopAccepting => {
-                self.front.stop_accepting(now, &mut self.counters);
+                let mut events = Vec::new();
+                self.front.stop_accepting(now, &mut events, &mut self.counters);
+                self.front_events(now, events);
                 self.stopping = Some(true);
             }
         }
     }
 
     fn front_events(&mut self, now: Nanos, events: Vec<FrontEvent>) {
-        for event in events {
+        let mut events = VecDeque::from(events);
+        while let Some(event) = events.pop_front() {
             match event {
                 FrontEvent::Request(incoming) => {
                     // More would end the process for its memory, and with it all that was taken.
                     let full = self.tries.held() + self.front.buffered() > self.memory;
                     if full || self.tries.open() >= self.max_open {
                         self.counters.overfull += 1;
-                        self.answer(now, (incoming.ticket, FinalAnswer::Refused { retry_after: 0 }));
+                        // Not by `answer`: a long pipeline would have it call itself for each command.
+                        let mut more = Vec::new();
+                        let connection = incoming.ticket.connection;
+                        self.front.answer(incoming.ticket, FinalAnswer::Refused { retry_after: 0 });
+                        self.front.flush(connection, now, &mut more, &mut self.counters);
+                        events.extend(more);
                         continue;
                     }
                     self.news.push(self.decide.request(&incoming));
@@ -261,7 +269,12 @@
             let phase = phase(&host.health);
             listed.insert(server);
             match host.dial.parse() {
-                Ok(address) => self.peers.set_address(server, address, &mut self.counters),
+                Ok(address) => {
+                    if self.peers.set_address(server, address, &mut self.counters) {
+                        // The module's log lines name servers by their numbers only.
+                        log::info!("upstream group: {} is server {}, at {address}", host.host, server.0);
+                    }
+                }
                 Err(_) => {
                     log::warn!("upstream group: {}: \"{}\" is no address with a port", host.host, host.dial)
                 }
--- a/balancer/src/front/resp.rs
+++ b/balancer/src/front/resp.rs
@@ -86,6 +86,7 @@
     /// Listens; at most `most` connections are held at once.
     pub fn listen(poll: &Poll, address: SocketAddr, most: usize) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
+        log::info!("listening on {}, for at most {most} client connections", listener.local_addr()?);
         listener.set_nonblocking(true)?;
         let listener = poll.watch(listener, Source::Listener, true, false)?;
         Ok(RespFront {
@@ -300,6 +301,9 @@
             }
             let done = c.last || self.stopping && c.input.is_empty();
             if done && c.places.is_empty() && c.unsent() == 0 {
+                if c.last {
+                    discard(c.stream.socket());
+                }
                 return self.remove(number, counters, events);
             }
             // Commands that were left unread because too much was owed may go on now.
@@ -357,10 +361,23 @@
         }
     }
 
-    /// No new connections from now on.
-    pub fn stop_accepting(&mut self, now: Nanos, counters: &mut Counters) {
+    /// No new connections from now on. Those that came since the request to stop and were never used would keep
+    /// the program from ending: they are closed like the other idle ones.
+    pub fn stop_accepting(&mut self, now: Nanos, events: &mut Vec<FrontEvent>, counters: &mut Counters) {
         self.accept(now, counters);
         self.listener = None;
+        self.stop(now, events, counters);
+    }
+}
+
+/// Takes what has come and will not be read: closing over it would reset the connection, and the client might
+/// lose the answer that tells it why.
+fn discard(mut stream: &TcpStream) {
+    let mut bytes = [0; 4096];
+    for _ in 0..64 {
+        if !matches!(stream.read(&mut bytes), Ok(n) if n > 0) {
+            return;
+        }
     }
 }
 
--- a/balancer/src/main.rs
+++ b/balancer/src/main.rs
@@ -22,7 +22,7 @@
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let result =
         config::Config::load(|name| std::env::var(name).ok()).map_err(|e| e.to_string()).and_then(|config| {
-            log::info!("{}: listening on {}, discovery at {}", config.name, config.listen, config.discovery);
+            log::info!("{}: discovery is at {}", config.name, config.discovery);
             event_loop::EventLoop::new(config)?.run()
         });
     match result {
--- a/balancer/src/peers.rs
+++ b/balancer/src/peers.rs
@@ -130,11 +130,14 @@
         }
     }
 
-    /// Where a peer is to be reached from now on; connections to its former address carry nothing new.
-    pub fn set_address(&mut self, server: ServerId, address: SocketAddr, counters: &mut Counters) {
-        if self.peers.entry(server).or_default().address.replace(address).is_some_and(|old| old != address) {
+    /// Where a peer is to be reached from now on; connections to its former address carry nothing new. Tells
+    /// whether that is news.
+    pub fn set_address(&mut self, server: ServerId, address: SocketAddr, counters: &mut Counters) -> bool {
+        let former = self.peers.entry(server).or_default().address.replace(address);
+        if former.is_some_and(|former| former != address) {
             self.close_idle(server, counters);
         }
+        former != Some(address)
     }
 
     /// The peer wants nothing new, or is gone. What has not begun to be written never will be: a connection
--- a/balancer/src/tries.rs
+++ b/balancer/src/tries.rs
@@ -203,7 +203,7 @@
         Reply::Error(text) if text.split(' ').next() == Some("BUSY") => return (Outcome::Full, None),
         Reply::Error(text) => {
             if text != "ERR failed" {
-                log::warn!("a peer answers: {text}");
+                log::debug!("a peer answers: {text}");
             }
             return (Outcome::Error, None);
         }
--- /dev/null
+++ b/balancer/tests/exchanges.rs
@@ -0,0 +1,189 @@
+//! Plays recorded byte exchanges against the program and compares what it sends.
+//!
+//! Each file in `exchanges/` is one story, a step a line:
+//!
+//! | step | meaning |
+//! | --- | --- |
+//! | `NAME > BYTES` | client, cache or discovery NAME sends these bytes |
+//! | `NAME < BYTES` | exactly these bytes must come to it next; `?` stands for any one byte |
+//! | `NAME end` | its connection must be ended by the program |
+//! | `NAME close` | it ends its connection |
+//! | `NAME next` | it takes the program's next connection; the one it has is `former-NAME` from now on |
+//! | `NAME down` | it takes no connections any more |
+//! | `signal TERM` | the program gets this signal |
+//! | `exit` | the program must end with exit code 0 |
+//!
+//! Names with `client` connect to the program; `cache` and `discovery` are connected to. `\r`, `\n` and `\\` are
+//! escapes, `{N*x}` is N times the letter, `#` begins a comment line,
+//! `DISCOVERY` is discovery's address. Waits have no bound but [`PATIENCE`].
+
+use rstest::rstest;
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+/// After this a step has failed; no step of a working program comes near it.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+const CONFIG: &str = r#"{"name":"n1","listen":"127.0.0.1:0","discovery":"DISCOVERY","seed":"2a",
+    "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+    "known":{"seq":41,"whole":true,"hosts":[{"host":"s-1","dial":"CACHE","site":"a","class":"m2","block":3,
+        "health":"in_service","share":1.0,"born_ms":0}]},
+    "settings":{"areas":["a"],"machine_types":["m2"],"group_size":1,"membership_mode":"subscribe","step_ns":4000000,
+        "accounts":[{"name":"acme","allowance_per_s":1000.0}],
+        "caps":{"max_attempts":3,"second_copies":true,"may_cancel":true,"may_probe":false,"conn_idle_ns":600000000000,
+            "connect_timeout_ns":10000000000},
+        "obligations":{"grace_to_answer_ns":16000000,"drain_grace_ns":2500000000,"must_ask_in_ns":10000000000},
+        "profiles":[
+            {"name":"read","repeat":"safe","goal_time_ns":300000000,"give_up_ns":600000000,"worth":3.0},
+            {"name":"put","repeat":"keyed","group":"all","memory_span_ns":2000000000,"goal_time_ns":300000000,
+                "give_up_ns":1000000000,"worth":3.0},
+            {"name":"once","repeat":"unsafe","goal_time_ns":300000000,"give_up_ns":2500000000,"worth":3.0}]}}"#;
+
+/// The program under test with all that it talks to.
+struct Stage {
+    child: Child,
+    address: String,
+    listeners: HashMap<&'static str, TcpListener>,
+    streams: HashMap<String, TcpStream>,
+    config: PathBuf,
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+impl Stage {
+    fn set(story: &Path) -> Stage {
+        let listen = || TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let listeners = HashMap::from([("cache", listen()), ("discovery", listen())]);
+        let at = |name| listeners[name].local_addr().expect("an address").to_string();
+        let text = CONFIG.replace("DISCOVERY", &at("discovery")).replace("CACHE", &at("cache"));
+        let story = story.file_stem().expect("a story").to_string_lossy().into_owned();
+        let config = std::env::temp_dir().join(format!("pipitrun-{}-{story}.json", std::process::id()));
+        std::fs::write(&config, text).expect("a place for the configuration");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_pipitrun"))
+            .env("GW_CONFIG", &config)
+            .env_remove("GW_LISTEN")
+            .env_remove("GW_DISCOVERY")
+            .env("RUST_LOG", "info")
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let mut log = BufReader::new(child.stderr.take().expect("its log")).lines().map_while(Result::ok);
+        let address = log.find_map(|l| Some(l.split_once("listening on ")?.1.split_once(',')?.0.to_string()));
+        std::thread::spawn(move || log.for_each(drop));
+        let address = address.expect("the program says where it listens");
+        Stage { child, address, listeners, streams: HashMap::new(), config }
+    }
+
+    /// The connection of this party, made or taken if there is none yet.
+    fn stream(&mut self, name: &str) -> &mut TcpStream {
+        if !self.streams.contains_key(name) {
+            let stream = match self.listeners.get(name) {
+                Some(listener) => accept(listener),
+                None => TcpStream::connect(&self.address).expect("the program takes clients"),
+            };
+            stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+            self.streams.insert(name.into(), stream);
+        }
+        self.streams.get_mut(name).expect("just made")
+    }
+
+    fn step(&mut self, line: &str) {
+        let (name, step) = line.split_once(' ').unwrap_or((line, ""));
+        match (name, step.split_at(step.len().min(2))) {
+            ("exit", _) => assert!(self.child.wait().expect("it ends").success(), "exit code"),
+            ("signal", _) => {
+                let pid = self.child.id().to_string();
+                let sent = Command::new("kill").args([&format!("-{step}"), &pid]).status();
+                assert!(sent.expect("kill is there").success(), "signal sent");
+            }
+            (_, ("> ", bytes)) => self.stream(name).write_all(&unescape(bytes)).expect("the program reads"),
+            (_, ("< ", bytes)) => {
+                let want = unescape(bytes);
+                let mut got = vec![0; want.len()];
+                let mut at = 0;
+                while at < got.len() {
+                    match self.stream(name).read(&mut got[at..]) {
+                        Ok(n) if n > 0 => at += n,
+                        end => panic!("{end:?} after \"{}\"", got[..at.min(400)].escape_ascii()),
+                    }
+                }
+                let same = got.iter().zip(&want).all(|(g, w)| g == w || *w == b'?');
+                let shown = &got[..got.len().min(400)];
+                assert!(same, "got \"{}\", want \"{bytes}\"", shown.escape_ascii());
+            }
+            (_, ("en", "d")) => match self.stream(name).read(&mut [0]) {
+                Ok(0) => {}
+                Err(e) if e.kind() == ErrorKind::ConnectionReset => {}
+                other => panic!("want the end, got {other:?}"),
+            },
+            (_, ("cl", "ose") | ("ne", "xt")) => {
+                self.stream(name);
+                if let Some(stream) = self.streams.remove(name).filter(|_| step == "next") {
+                    self.streams.insert(format!("former-{name}"), stream);
+                }
+            }
+            (_, ("do", "wn")) => {
+                self.listeners.remove(name).expect("it listens");
+            }
+            _ => panic!("no such step"),
+        }
+    }
+}
+
+fn accept(listener: &TcpListener) -> TcpStream {
+    // std has no accept with a time-out; a test that waits here for good is ended by its runner.
+    listener.accept().expect("the program connects").0
+}
+
+fn unescape(text: &str) -> Vec<u8> {
+    let mut out = Vec::new();
+    let mut rest = text;
+    while let Some(c) = rest.chars().next() {
+        rest = &rest[c.len_utf8()..];
+        let escaped = rest.chars().next();
+        match (c, escaped) {
+            ('\\', Some(e)) => {
+                out.push(match e {
+                    'r' => b'\r',
+                    'n' => b'\n',
+                    _ => b'\\',
+                });
+                rest = &rest[e.len_utf8()..];
+            }
+            ('{', _) if rest.split_once('}').is_some_and(|(inner, _)| inner.contains('*')) => {
+                let (inner, after) = rest.split_once('}').expect("just seen");
+                let (count, letter) = inner.split_once('*').expect("just seen");
+                out.extend(letter.repeat(count.parse().expect("a count")).bytes());
+                rest = after;
+            }
+            _ => out.extend(c.to_string().bytes()),
+        }
+    }
+    out
+}
+
+#[rstest]
+fn the_program_keeps_to_the_record(#[files("tests/exchanges/*.txt")] story: PathBuf) {
+    let text = std::fs::read_to_string(&story).expect("the story can be read");
+    let mut stage = Stage::set(&story);
+    for (at, line) in text.lines().enumerate() {
+        if !line.is_empty() && !line.starts_with('#') {
+            // The step is printed first, so that a failure names its line.
+            println!("line {}: {line}", at + 1);
+            let discovery = stage.listeners.get("discovery").and_then(|l| l.local_addr().ok());
+            let discovery = discovery.map_or(String::new(), |address| address.to_string());
+            stage.step(&line.replace("DISCOVERY", &discovery));
+        }
+    }
+}
