--- a/balancer/tests/exchanges.rs
+++ b/balancer/tests/exchanges.rs
@@ -15,7 +15,7 @@
 //!
 //! Names with `client` connect to the program; `cache` and `discovery` are connected to. `\r`, `\n` and `\\` are
 //! escapes, `{N*x}` is N times the letter, `#` begins a comment line,
-//! `DISCOVERY` is discovery's address. Waits have no bound but [`PATIENCE`].
+//! `DISCOVERY` and `CACHE` are their addresses. Waits have no bound but [`PATIENCE`].
 
 use rstest::rstest;
 use std::collections::HashMap;
@@ -64,8 +64,9 @@
     fn set(story: &Path) -> Stage {
         let listen = || TcpListener::bind("127.0.0.1:0").expect("a free port");
         let listeners = HashMap::from([("cache", listen()), ("discovery", listen())]);
-        let at = |name| listeners[name].local_addr().expect("an address").to_string();
-        let text = CONFIG.replace("DISCOVERY", &at("discovery")).replace("CACHE", &at("cache"));
+        let text = CONFIG
+            .replace("DISCOVERY", &local(&listeners["discovery"]))
+            .replace("CACHE", &local(&listeners["cache"]));
         let story = story.file_stem().expect("a story").to_string_lossy().into_owned();
         let config = std::env::temp_dir().join(format!("pipitrun-{}-{story}.json", std::process::id()));
         std::fs::write(&config, text).expect("a place for the configuration");
@@ -140,6 +141,10 @@
     }
 }
 
+fn local(listener: &TcpListener) -> String {
+    listener.local_addr().expect("an address").to_string()
+}
+
 fn accept(listener: &TcpListener) -> TcpStream {
     // std has no accept with a time-out; a test that waits here for good is ended by its runner.
     listener.accept().expect("the program connects").0
@@ -176,13 +181,13 @@
 fn the_program_keeps_to_the_record(#[files("tests/exchanges/*.txt")] story: PathBuf) {
     let text = std::fs::read_to_string(&story).expect("the story can be read");
     let mut stage = Stage::set(&story);
+    let address = |(name, listener): (&&str, &TcpListener)| (name.to_uppercase(), local(listener));
+    let addresses: Vec<_> = stage.listeners.iter().map(address).collect();
     for (at, line) in text.lines().enumerate() {
         if !line.is_empty() && !line.starts_with('#') {
             // The step is printed first, so that a failure names its line.
             println!("line {}: {line}", at + 1);
-            let discovery = stage.listeners.get("discovery").and_then(|l| l.local_addr().ok());
-            let discovery = discovery.map_or(String::new(), |address| address.to_string());
-            stage.step(&line.replace("DISCOVERY", &discovery));
+            stage.step(&addresses.iter().fold(line.to_string(), |line, (name, at)| line.replace(name, at)));
         }
     }
 }
