Open the door to waiting clients again once others are idle, not only when one leaves

Ruled out: eviction itself (make_room takes idle ones after 100 ms) and the module (all taken requests were answered within 0.5 s).

The unit test of the rush now also asks that the door opens again, and fails without this.

--- a/balancer/src/front/resp.rs
+++ b/balancer/src/front/resp.rs
@@ -351,9 +351,9 @@
         for number in stuck {
             self.remove(number, counters, events);
         }
-        if self.connections.len() < self.most {
-            self.pause(false);
-        }
+        // Also at the limit: connections that were at work when the door was shut may be idle by now, and a
+        // newcomer would wait for good if only a client's leaving could open it again.
+        self.pause(false);
     }
 
     /// From now on a connection is closed once nothing is owed on it; idle ones at once.
@@ -488,6 +488,9 @@
         let _second = connect();
         front.accept(1, &mut counters);
         assert_eq!((counters.clients_accepted, counters.clients_closed), (1, 0), "just taken");
+        assert!(!front.accepting, "the newcomer waits");
+        front.sweep(2, &mut Vec::new(), &mut counters);
+        assert!(front.accepting, "but not for good");
         first.write_all(b"*1\r\n").unwrap();
         front.accept(IDLE_LEAST, &mut counters);
         assert_eq!((counters.clients_accepted, counters.clients_closed), (1, 0), "something to read");
