Handle SIGHUP: read the configuration again and move the watch to a new address

Checked: 129 is SIGHUP's default action; event_loop.rs registers SIGTERM, SIGINT and SIGUSR1 and nothing else.

Now SIGHUP reads the file through config; UpstreamGroup::move_to drops the old watch and begins the new one at once, going on from the known version. GW_DISCOVERY can't change in a running process, so an address that is new in the file goes before it. A faulty file is logged with its key and changes nothing. limits apply live; name, listen, seed and settings are heeded at the next start, and that is logged.

--- a/balancer/src/config.rs
+++ b/balancer/src/config.rs
@@ -24,6 +24,8 @@
     pub listen: SocketAddr,
     /// Where discovery is.
     pub discovery: SocketAddr,
+    /// What the file says of that, whether or not the environment goes before it.
+    discovery_in_file: Option<String>,
     /// For the module's random numbers.
     pub seed: u64,
     /// File descriptors the process may hold.
@@ -87,6 +89,36 @@
         Config::parse(&text, variable)
     }
 
+    /// Reads the file again for a program that runs by `self`. An address of discovery that is new in the file goes
+    /// before the environment too: that can't change while the program runs, so the file is the later word.
+    pub fn reload(&self, variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+        self.follow(Config::load(variable)?)
+    }
+
+    fn follow(&self, mut new: Config) -> Result<Config, ConfigError> {
+        new.discovery = match &new.discovery_in_file {
+            Some(text) if new.discovery_in_file != self.discovery_in_file => {
+                parse_address("discovery", text)?
+            }
+            _ => self.discovery,
+        };
+        Ok(new)
+    }
+
+    /// The keys that differ from `former` and are heeded at the start only.
+    pub fn start_only(&self, former: &Config) -> Vec<&'static str> {
+        let settings = self.settings != former.settings
+            || self.names != former.names
+            || self.transport != former.transport;
+        let keys = [
+            ("name", self.name != former.name),
+            ("listen", self.listen != former.listen),
+            ("seed", self.seed != former.seed),
+            ("settings", settings),
+        ];
+        keys.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key).collect()
+    }
+
     fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
         let mut json = serde_json::Deserializer::from_str(text);
         let file: File = serde_path_to_error::deserialize(&mut json)
@@ -99,7 +131,7 @@
                     (key, in_file.ok_or_else(|| wrong(key, format!("is missing, and {name} is not set")))?)
                 }
             };
-            text.parse().map_err(|_| wrong(key, format!("\"{text}\" is no address with a port")))
+            parse_address(key, &text)
         };
         let (settings, names, transport) = file.settings.translate().map_err(|e| wrong("settings", e))?;
         settings.check().map_err(|e| wrong(&format!("settings.{}", key_of(&e)), e.problem))?;
@@ -111,7 +143,8 @@
         Ok(Config {
             name: variable("GW_NAME").or(file.name).unwrap_or_else(|| "balancer".into()),
             listen: address("GW_LISTEN", "listen", file.listen)?,
-            discovery: address("GW_DISCOVERY", "discovery", file.discovery)?,
+            discovery: address("GW_DISCOVERY", "discovery", file.discovery.clone())?,
+            discovery_in_file: file.discovery,
             seed: seed(&file.seed),
             sockets: figure("limits.sockets", file.limits.sockets, SOCKETS_DEFAULT, SOCKETS_LEAST)?,
             memory: figure("limits.memory_mb", file.limits.memory_mb, MEMORY_DEFAULT, 16)?
@@ -124,6 +157,10 @@
     }
 }
 
+fn parse_address(key: &str, text: &str) -> Result<SocketAddr, ConfigError> {
+    text.parse().map_err(|_| wrong(key, format!("\"{text}\" is no address with a port")))
+}
+
 /// The seed is hex digits; whatever else stands there still tells one start from another.
 fn seed(value: &Value) -> u64 {
     let text = value.as_str().map_or_else(|| value.to_string(), str::to_string);
@@ -153,6 +190,23 @@
         assert_eq!(config.settings.limits.max_attempts, 3);
     }
 
+    #[test]
+    fn a_new_address_of_discovery_in_the_file_goes_before_the_environment_at_a_reload() {
+        let variable = |name: &str| (name == "GW_DISCOVERY").then(|| "127.0.0.9:1".to_string());
+        let first = Config::parse(GOOD, variable).unwrap();
+        let same = first.follow(Config::parse(GOOD, variable).unwrap()).unwrap();
+        assert_eq!(same.discovery.to_string(), "127.0.0.9:1", "the file says nothing new");
+        let moved = GOOD.replace("127.0.0.2:8500", "127.0.0.4:8500").replace("\"ff\"", "\"fe\"");
+        let moved = same.follow(Config::parse(&moved, variable).unwrap()).unwrap();
+        assert_eq!(moved.discovery.to_string(), "127.0.0.4:8500");
+        assert_eq!(moved.start_only(&first), ["seed"]);
+        let again = moved.follow(Config::parse(GOOD, variable).unwrap()).unwrap();
+        assert_eq!(again.discovery.to_string(), "127.0.0.2:8500", "moved back, in the file");
+        let bad = Config::parse(&GOOD.replace("127.0.0.2:8500", "there"), variable).unwrap();
+        let error = again.follow(bad).unwrap_err().to_string();
+        assert_eq!(error, "configuration: discovery: \"there\" is no address with a port");
+    }
+
     #[test]
     fn a_faulty_key_is_named() {
         let cases = [
--- a/balancer/src/counters.rs
+++ b/balancer/src/counters.rs
@@ -71,4 +71,8 @@
     list_calls,
     /// Calls of discovery that failed or ended.
     list_failed,
+    /// Configurations read again and taken over.
+    reloads,
+    /// Configurations read again and found faulty; the old one stayed.
+    reloads_failed,
 }
--- a/balancer/src/event_loop.rs
+++ b/balancer/src/event_loop.rs
@@ -13,7 +13,7 @@
 use crate::upstream_group::{GroupEvent, HostList, UpstreamGroup};
 use finchyard::{Action, Brain, Event, Nanos, Outcome, Phase};
 use polling::Events;
-use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use std::collections::{BTreeSet, VecDeque};
 use std::io::{self, Read, Write};
 use std::os::unix::net::UnixStream;
@@ -33,6 +33,8 @@
 
 /// The balancer at work.
 pub struct EventLoop {
+    /// What the program runs by; `known` is taken out.
+    config: Config,
     clock: Clock,
     poll: Poll,
     timers: Timers,
@@ -44,6 +46,7 @@
     tries: Tries,
     stop: Watched<UnixStream>,
     report: Watched<UnixStream>,
+    reload: Watched<UnixStream>,
     /// What has happened and isn't told to the module yet.
     news: Vec<Event>,
     memory: usize,
@@ -53,6 +56,12 @@
     ready: bool,
 }
 
+/// How many descriptors peers and clients get.
+fn split_sockets(sockets: usize) -> (usize, usize) {
+    let for_peers = (sockets - SOCKETS_KEPT) / PEERS_PART;
+    (for_peers, sockets - SOCKETS_KEPT - for_peers)
+}
+
 /// A pipe that becomes readable with each of these signals.
 fn signals(poll: &Poll, numbers: &[i32], source: Source) -> io::Result<Watched<UnixStream>> {
     let (read, write) = UnixStream::pair()?;
@@ -69,24 +78,25 @@
 
 impl EventLoop {
     /// Opens all that is needed before the first client can be served.
-    pub fn new(config: Config) -> Result<Self, String> {
+    pub fn new(mut config: Config) -> Result<Self, String> {
         let clock = Clock::start();
         let now = clock.now();
         let poll = what(Poll::new(), "poller")?;
-        let for_peers = (config.sockets - SOCKETS_KEPT) / PEERS_PART;
-        let for_clients = config.sockets - SOCKETS_KEPT - for_peers;
-        let brain = Brain::new(config.settings, config.seed, now).map_err(|e| e.to_string())?;
+        let (for_peers, for_clients) = split_sockets(config.sockets);
+        let brain = Brain::new(config.settings.clone(), config.seed, now).map_err(|e| e.to_string())?;
         let transport = config.transport;
+        let known = config.known.take();
         let mut me = EventLoop {
             stop: what(signals(&poll, &[SIGTERM, SIGINT], Source::Stop), "signals")?,
             report: what(signals(&poll, &[SIGUSR1], Source::Report), "signals")?,
+            reload: what(signals(&poll, &[SIGHUP], Source::Reload), "signals")?,
             front: what(
                 RespFront::listen(&poll, config.listen, for_clients),
                 &format!("listening on {}", config.listen),
             )?,
-            group: UpstreamGroup::new(&poll, config.discovery, config.known.as_ref().map(|list| list.seq)),
+            group: UpstreamGroup::new(&poll, config.discovery, known.as_ref().map(|list| list.seq)),
             peers: Peers::new(&poll, for_peers, transport.connect_timeout, transport.conn_idle),
-            decide: Decide::new(brain, config.names),
+            decide: Decide::new(brain, config.names.clone()),
             tries: Tries::default(),
             timers: Timers::default(),
             counters: Counters::default(),
@@ -97,9 +107,10 @@
             ready: false,
             clock,
             poll,
+            config,
         };
         me.timers.set(now + SWEEP, Due::Sweep);
-        if let Some(list) = config.known {
+        if let Some(list) = known {
             me.list(list, true);
         }
         Ok(me)
@@ -156,6 +167,7 @@
                     drain(&self.report);
                     self.print_counters();
                 }
+                Source::Reload => self.reload(now),
                 Source::Listener => self.front.accept(now, &mut self.counters),
                 Source::Client(_) => clients.push(one),
             }
@@ -388,6 +400,34 @@
         self.front_events(now, events);
     }
 
+    /// Reads the configuration again and takes over what applies live. Client connections, the list and all tries
+    /// stay; so does everything if the file is faulty.
+    fn reload(&mut self, now: Nanos) {
+        drain(&self.reload);
+        let mut new = match self.config.reload(|name| std::env::var(name).ok()) {
+            Ok(new) => new,
+            Err(e) => {
+                self.counters.reloads_failed += 1;
+                return log::error!("{e}; the old configuration stays");
+            }
+        };
+        self.counters.reloads += 1;
+        log::info!("the configuration was read again");
+        // What the watch has told since is newer.
+        new.known = None;
+        let later = new.start_only(&self.config);
+        if !later.is_empty() {
+            log::warn!("changed, but heeded at the next start only: {}", later.join(", "));
+        }
+        self.memory = new.memory / MEMORY_PART;
+        let (for_peers, for_clients) = split_sockets(new.sockets);
+        self.peers.set_most(for_peers);
+        self.front.set_most(for_clients);
+        let failed = self.group.move_to(new.discovery, now, &mut self.timers, &mut self.counters);
+        self.group_events(failed.into_iter().collect());
+        self.config = new;
+    }
+
     /// On standard output, so that no choice of log level hides them.
     fn print_counters(&self) {
         // Nobody may be reading any more; that is no reason to fail.
--- a/balancer/src/front/resp.rs
+++ b/balancer/src/front/resp.rs
@@ -109,6 +109,11 @@
         self.ready = true;
     }
 
+    /// From now on at most this many connections are held; those that are open stay.
+    pub fn set_most(&mut self, most: usize) {
+        self.most = most;
+    }
+
     /// Bytes held for clients, unread and unsent.
     pub fn buffered(&self) -> usize {
         let answered = |p: &Place| if let Place::Answered(bytes) = p { bytes.len() } else { 0 };
--- a/balancer/src/peers.rs
+++ b/balancer/src/peers.rs
@@ -130,6 +130,11 @@
         }
     }
 
+    /// From now on at most this many connections are held; those that are open stay.
+    pub fn set_most(&mut self, most: usize) {
+        self.most = most;
+    }
+
     /// Where a peer is to be reached from now on; connections to its former address carry nothing new. Tells
     /// whether that is news.
     pub fn set_address(&mut self, server: ServerId, address: SocketAddr, counters: &mut Counters) -> bool {
--- a/balancer/src/poll.rs
+++ b/balancer/src/poll.rs
@@ -41,10 +41,12 @@
     Stop,
     /// The request for the counters.
     Report,
+    /// The request to read the configuration again.
+    Reload,
 }
 
 impl Source {
-    const KINDS: u64 = 6;
+    const KINDS: u64 = 7;
 
     fn key(self) -> usize {
         let (number, kind) = match self {
@@ -54,6 +56,7 @@
             Source::Discovery(n) => (n, 3),
             Source::Stop => (0, 4),
             Source::Report => (0, 5),
+            Source::Reload => (0, 6),
         };
         (number * Self::KINDS + kind) as usize
     }
@@ -66,7 +69,8 @@
             2 => Source::Peer(number),
             3 => Source::Discovery(number),
             4 => Source::Stop,
-            _ => Source::Report,
+            5 => Source::Report,
+            _ => Source::Reload,
         }
     }
 }
--- a/balancer/src/upstream_group.rs
+++ b/balancer/src/upstream_group.rs
@@ -105,16 +105,19 @@
     next_call: u64,
     /// The version up to which all changes are known.
     seq: Option<u64>,
+    /// The module wants a watch.
+    wanted: bool,
 }
 
 impl UpstreamGroup {
     /// Nothing is asked yet; `seq` is the version of the list that is known from before.
     pub fn new(poll: &Poll, address: SocketAddr, seq: Option<u64>) -> Self {
-        UpstreamGroup { poll: poll.clone(), address, call: None, next_call: 0, seq }
+        UpstreamGroup { poll: poll.clone(), address, call: None, next_call: 0, seq, wanted: false }
     }
 
     /// Begins a watch, unless one is open.
     pub fn watch(&mut self, now: Nanos, timers: &mut Timers, counters: &mut Counters) -> Option<GroupEvent> {
+        self.wanted = true;
         if self.call.is_some() {
             return None;
         }
@@ -149,6 +152,25 @@
         }
     }
 
+    /// Discovery is at another address from now on: the watch moves there, and goes on from the version that is
+    /// known. It begins at once, whatever the module waits for after a failed call: a former address may tell
+    /// nothing more, and changes that it leaves untold count as told all the same.
+    pub fn move_to(
+        &mut self,
+        address: SocketAddr,
+        now: Nanos,
+        timers: &mut Timers,
+        counters: &mut Counters,
+    ) -> Option<GroupEvent> {
+        if address == self.address {
+            return None;
+        }
+        log::info!("discovery moves from {} to {address}", self.address);
+        self.address = address;
+        self.call = None;
+        if self.wanted { self.watch(now, timers, counters) } else { None }
+    }
+
     fn connect(&self, number: u64) -> std::io::Result<Watched<TcpStream>> {
         self.poll.watch(connect(self.address)?, Source::Discovery(number), false, true)
     }
--- a/balancer/tests/exchanges.rs
+++ b/balancer/tests/exchanges.rs
@@ -11,11 +11,13 @@
 //! | `NAME next` | it takes the program's next connection; the one it has is `former-NAME` from now on |
 //! | `NAME down` | it takes no connections any more |
 //! | `signal TERM` | the program gets this signal |
+//! | `file OLD => NEW` | in the configuration file OLD becomes NEW |
+//! | `log TEXT` | the program's next log line with this text comes |
 //! | `exit` | the program must end with exit code 0 |
 //!
-//! Names with `client` connect to the program; `cache` and `discovery` are connected to. `\r`, `\n` and `\\` are
+//! Names with `client` connect to the program; `cache`, `discovery` and `registry` are connected to. `\r`, `\n` and `\\` are
 //! escapes, `{N*x}` is N times the letter, `#` begins a comment line,
-//! `DISCOVERY` and `CACHE` are their addresses. Waits have no bound but [`PATIENCE`].
+//! `DISCOVERY`, `REGISTRY` (a second one) and `CACHE` are their addresses. Waits have no bound but [`PATIENCE`].
 
 use rstest::rstest;
 use std::collections::HashMap;
@@ -23,6 +25,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
 
 /// After this a step has failed; no step of a working program comes near it.
@@ -50,6 +53,7 @@
     listeners: HashMap<&'static str, TcpListener>,
     streams: HashMap<String, TcpStream>,
     config: PathBuf,
+    log: Receiver<String>,
 }
 
 impl Drop for Stage {
@@ -63,7 +67,7 @@
 impl Stage {
     fn set(story: &Path) -> Stage {
         let listen = || TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let listeners = HashMap::from([("cache", listen()), ("discovery", listen())]);
+        let listeners = HashMap::from([("cache", listen()), ("discovery", listen()), ("registry", listen())]);
         let text = CONFIG
             .replace("DISCOVERY", &local(&listeners["discovery"]))
             .replace("CACHE", &local(&listeners["cache"]));
@@ -81,9 +85,11 @@
             .expect("the program starts");
         let mut log = BufReader::new(child.stderr.take().expect("its log")).lines().map_while(Result::ok);
         let address = log.find_map(|l| Some(l.split_once("listening on ")?.1.split_once(',')?.0.to_string()));
-        std::thread::spawn(move || log.for_each(drop));
+        let (lines, log_lines) = channel();
+        // Read on even when nobody asks, or the program would wait for its log to be read.
+        std::thread::spawn(move || log.for_each(|line| drop(lines.send(line))));
         let address = address.expect("the program says where it listens");
-        Stage { child, address, listeners, streams: HashMap::new(), config }
+        Stage { child, address, listeners, streams: HashMap::new(), config, log: log_lines }
     }
 
     /// The connection of this party, made or taken if there is none yet.
@@ -108,6 +114,18 @@
                 let sent = Command::new("kill").args([&format!("-{step}"), &pid]).status();
                 assert!(sent.expect("kill is there").success(), "signal sent");
             }
+            ("file", _) => {
+                let (old, new) = step.split_once(" => ").expect("what for what");
+                let text = std::fs::read_to_string(&self.config).expect("the configuration");
+                assert!(text.contains(old), "{text}");
+                std::fs::write(&self.config, text.replace(old, new)).expect("it can be written");
+            }
+            ("log", _) => loop {
+                let line = self.log.recv_timeout(PATIENCE).expect("a log line");
+                if line.contains(step) {
+                    break;
+                }
+            },
             (_, ("> ", bytes)) => self.stream(name).write_all(&unescape(bytes)).expect("the program reads"),
             (_, ("< ", bytes)) => {
                 let want = unescape(bytes);
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -86,7 +86,7 @@
 }
 
 /// The names by which events of one instance speak of classes, tenants, zones and kinds.
-#[derive(Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Names {
     /// Request classes, in the order of [`Settings::classes`].
     pub classes: Vec<String>,
