Spoilt answers and senseless requests speak against no cache; close silent clients

With each try and the first bytes of what can't be read in the log: 443 spoilt answers told to the module as resets (strikes); 376 'errors', of which 367 were '-ERR bad request' to commands with the id of another client's open request, each tried three times, each a strike and a cut of the origin's share; 83 answers '*3 *3 *3' waited for until the try was over; ':5' left its connection in use, where nothing more ever came.

At fault: peers.rs (unreadable is Broken; any readable reply keeps its connection), resp.rs (an answer was read as any reply, so what can't become one was waited for), tries.rs (every error line is the cache's failure), event_loop.rs and decide.rs (no guard for ids; an unknown class went to the module as a place that isn't there), tries.rs start (a try that came too late was reported as attempt 0, so the module kept the right number in flight for good), front/resp.rs (silent clients and half commands were kept until the places ran out; 16 words of 64 KiB never fitted, so such a command hung; 'inf' and 1e99 were times; 32 KiB kept for each idle connection). Ruled out: the bad clients' load (0.1 CPU s in the worst second).

Now an answer is judged by its first wrong byte and is Unknown to the module, a complaint of the command is the new Unfit (failed, not retried, nobody's fault); a value is served without its report; an open id, unknown class, empty key or id, time that is none gets an error; a connection isn't used again in the turn in which it answered, and rather after 2 ms; timers of finished tries are taken back; the module keeps 4,096 slots instead of up to 65,536.

--- a/balancer/src/counters.rs
+++ b/balancer/src/counters.rs
@@ -25,6 +25,10 @@
     taken,
     /// Commands that were no request: malformed, or lacking a field.
     malformed,
+    /// Requests with a class that the settings don't name.
+    class_unknown,
+    /// Requests with the id of one that is still open.
+    id_open,
     /// Requests turned away for want of memory or places, without asking the module.
     overfull,
     /// Tries sent, the first of each request included.
@@ -45,6 +49,10 @@
     try_connect_failed,
     /// Tries whose connection broke after that.
     try_reset,
+    /// Tries whose answer can't be read.
+    try_spoilt,
+    /// Tries that the peer answered with an error that speaks against the request itself.
+    try_unfit,
     /// Tries called back by the module.
     try_cancelled,
     /// Tries never sent, for want of time or of a connection.
@@ -61,6 +69,14 @@
     clients_accepted,
     /// Client connections closed, by either side.
     clients_closed,
+    /// Replies of peers that can't be read.
+    spoilt,
+    /// Tries and probes without a place for another connection.
+    no_place,
+    /// Of these, for saying nothing, or half a command, for too long.
+    clients_unfinished,
+    /// Of these, for having nothing open for long.
+    clients_idle,
     /// Connections to peers begun.
     peers_opened,
     /// Connections to peers closed, by either side.
--- a/balancer/src/decide.rs
+++ b/balancer/src/decide.rs
@@ -34,19 +34,18 @@
         actions
     }
 
-    /// A client's request in the module's terms. A class that the settings don't name has no place among the
-    /// classes; the module fails such a request.
-    pub fn request(&self, incoming: &Incoming) -> Event {
+    /// A client's request in the module's terms; none if the settings don't name its class.
+    pub fn request(&self, incoming: &Incoming) -> Option<Event> {
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
-        Event::Request(NewRequest {
+        Some(Event::Request(NewRequest {
             id: incoming.ticket.request,
-            class: ClassId(place(&self.names.classes, &incoming.class).unwrap_or(usize::MAX)),
+            class: ClassId(place(&self.names.classes, &incoming.class)?),
             tenant: incoming.tenant.as_ref().and_then(|t| place(&self.names.tenants, t)).map(TenantId),
             key: Some(key(&incoming.order.key)),
             patience: incoming.patience,
             work: None,
             write: incoming.order.value.is_some(),
-        })
+        }))
     }
 
     /// A list in the module's terms.
--- a/balancer/src/event_loop.rs
+++ b/balancer/src/event_loop.rs
@@ -4,9 +4,9 @@
 use crate::counters::Counters;
 use crate::decide::{Decide, phase, server_id};
 use crate::front::resp::{FrontEvent, RespFront};
-use crate::peers::{Job, Outgoing, PeerEvent, Peers};
+use crate::peers::{Job, JobEnd, Outgoing, PeerEvent, Peers};
 use crate::poll::{Poll, Ready, Source, Watched};
-use crate::request::FinalAnswer;
+use crate::request::{FinalAnswer, Incoming};
 use crate::resp::write_command;
 use crate::timers::{Clock, Due, MS, Timers};
 use crate::tries::{Answer, Tries};
@@ -25,7 +25,7 @@
 /// Of the memory, requests and answers together may hold this part.
 const MEMORY_PART: usize = 4;
 /// How often idle and stuck connections are looked for.
-const SWEEP: Nanos = 250 * MS;
+const SWEEP: Nanos = 100 * MS;
 /// A probe is given up after this.
 const PROBE_TIMEOUT: Nanos = 500 * MS;
 /// How long new connections are taken after a request to stop: they keep coming for up to 0.4 s.
@@ -149,6 +149,7 @@
     /// Takes in all that is ready: outcomes before new requests, so that the module decides by the latest.
     fn gather(&mut self, ready: &mut Vec<Ready>) {
         let now = self.clock.now();
+        self.peers.next_turn();
         let mut clients = Vec::new();
         for one in ready.drain(..) {
             match one.source {
@@ -231,17 +232,18 @@
                 FrontEvent::Request(incoming) => {
                     // More would end the process for its memory, and with it all that was taken.
                     let full = self.tries.held() + self.front.buffered() > self.memory;
-                    if full || self.tries.open() >= self.max_open {
-                        self.counters.overfull += 1;
+                    let full = full || self.tries.open() >= self.max_open;
+                    let event = self.decide.request(&incoming);
+                    if let Some(answer) = self.turn_away(&incoming, event.is_some(), full) {
                         // Not by `answer`: a long pipeline would have it call itself for each command.
                         let mut more = Vec::new();
                         let connection = incoming.ticket.connection;
-                        self.front.answer(incoming.ticket, FinalAnswer::Refused { retry_after: 0 });
+                        self.front.answer(incoming.ticket, answer);
                         self.front.flush(connection, now, &mut more, &mut self.counters);
                         events.extend(more);
                         continue;
                     }
-                    self.news.push(self.decide.request(&incoming));
+                    self.news.extend(event);
                     self.tries.take(now, incoming);
                 }
                 FrontEvent::Gone(request) => {
@@ -252,8 +254,29 @@
         }
     }
 
+    /// The answer to a request that isn't taken. One without a known class, or with the id of an open one, must
+    /// reach no peer: that would take it for the other, or complain, and the module would think ill of the peer.
+    fn turn_away(&mut self, incoming: &Incoming, class_known: bool, full: bool) -> Option<FinalAnswer> {
+        if !class_known {
+            self.counters.class_unknown += 1;
+            Some(FinalAnswer::Invalid("unknown class"))
+        } else if self.tries.is_open(&incoming.order.id) {
+            self.counters.id_open += 1;
+            Some(FinalAnswer::Invalid("a request with this id is open"))
+        } else if full {
+            self.counters.overfull += 1;
+            Some(FinalAnswer::Refused { retry_after: 0 })
+        } else {
+            None
+        }
+    }
+
     fn peer_events(&mut self, now: Nanos, events: Vec<PeerEvent>) {
         for event in events {
+            if let Job::Try(request, attempt) = event.job {
+                self.timers.cancel(Due::Try(request, attempt));
+            }
+            self.counters.no_place += u64::from(event.end == JobEnd::NoPlace);
             let (event, answer) = self.tries.finished(now, event, &mut self.counters);
             self.news.extend(event);
             if let Some(answer) = answer {
@@ -317,8 +340,8 @@
 
     fn carry_out(&mut self, now: Nanos, action: Action) {
         match action {
-            Action::Send { request, server, timeout } => {
-                match self.tries.start(now, request, server, timeout, &mut self.counters) {
+            Action::Send { request, attempt, server, timeout } => {
+                match self.tries.start(now, (request, attempt), server, timeout, &mut self.counters) {
                     Ok(outgoing) => {
                         if let Job::Try(request, attempt) = outgoing.job {
                             self.timers.set(outgoing.until, Due::Try(request, attempt));
@@ -343,6 +366,7 @@
             Action::Cancel { request, attempt } => {
                 let outcome = Outcome::Cancelled;
                 if let Some(event) = self.tries.give_up(now, request, attempt, outcome, &mut self.counters) {
+                    self.timers.cancel(Due::Try(request, attempt));
                     self.peers.abandon(Job::Try(request, attempt), &mut self.counters);
                     self.news.push(event);
                 }
@@ -380,7 +404,7 @@
         match answer {
             FinalAnswer::Served(_) => self.counters.served += 1,
             FinalAnswer::Refused { .. } => self.counters.refused += 1,
-            FinalAnswer::Failed => self.counters.failed += 1,
+            FinalAnswer::Failed | FinalAnswer::Invalid(_) => self.counters.failed += 1,
         }
         let connection = ticket.connection;
         self.front.answer(ticket, answer);
--- a/balancer/src/front/resp.rs
+++ b/balancer/src/front/resp.rs
@@ -19,11 +19,23 @@
 const READ_SIZE: usize = 32 * 1024;
 /// Unread commands are kept up to this size: one with the longest value always fits.
 const INPUT_MAX: usize = resp::MESSAGE_MAX;
+/// At most this many connections are taken in one turn of the loop: a flood of them must not hold up the rest.
+const ACCEPT_MAX: usize = 64;
 /// A client that takes none of its answer for this long is given up.
 const STUCK: Nanos = 10_000 * MS;
-/// A connection that stands idle this long may be closed for a newcomer.
+/// A command, the first one included, must be whole this long after it could have begun.
+const UNFINISHED: Nanos = 2_000 * MS;
+/// A connection with nothing open is closed after this ...
+const IDLE: Nanos = 10_000 * MS;
+/// ... or, with more than half of the places taken, after this.
+const IDLE_CROWDED: Nanos = 2_000 * MS;
+/// A connection that stands idle this long may be closed for a newcomer ...
 const IDLE_LEAST: Nanos = 100 * MS;
-/// No client waits longer than this, whatever it says.
+/// ... and one on which nothing ever came, after this.
+const MUTE_LEAST: Nanos = 20 * MS;
+/// With more than this part of the places taken by those, they alone make room for newcomers.
+const MUTE_PART: usize = 4;
+/// No client waits longer than this.
 const PATIENCE_MAX: f64 = 3_600_000.0;
 
 /// What a front tells the core.
@@ -52,6 +64,10 @@
     last: bool,
     /// When it last took or got something.
     active: Nanos,
+    /// Since when a command could have been coming.
+    since: Nanos,
+    /// It has sent something whole.
+    spoken: bool,
 }
 
 impl ClientConnection {
@@ -82,6 +98,8 @@
     ready: bool,
     stopping: bool,
     accepting: bool,
+    /// What one read takes: kept by all together, since most connections stand idle.
+    scratch: Vec<u8>,
 }
 
 impl RespFront {
@@ -101,6 +119,7 @@
             ready: false,
             stopping: false,
             accepting: true,
+            scratch: vec![0; READ_SIZE],
         })
     }
 
@@ -129,7 +148,7 @@
 
     /// Takes the clients that wait at the door.
     pub fn accept(&mut self, now: Nanos, counters: &mut Counters) {
-        loop {
+        for _ in 0..ACCEPT_MAX {
             if self.connections.len() >= self.most && !self.make_room(now, counters) {
                 // All are at work: whoever comes waits in the listener's queue until one is done. Taking it
                 // would use up the descriptors that peers and discovery need.
@@ -162,6 +181,8 @@
                             written: 0,
                             last: false,
                             active: now,
+                            since: now,
+                            spoken: false,
                         },
                     );
                 }
@@ -189,11 +210,17 @@
 
     /// Closes the connection that has been idle longest, if one is. One that was just taken, or on which something
     /// waits to be read, is not idle: in a rush of newcomers each would be closed for the next, its request unread.
+    /// Those on which nothing ever came go first, or clients that say nothing would push out those that do.
     fn make_room(&mut self, now: Nanos, counters: &mut Counters) -> bool {
+        let mute = self.connections.values().filter(|c| !c.spoken).count();
+        let spoken_least = if mute > self.most / MUTE_PART { IDLE_CROWDED } else { IDLE_LEAST };
         let idle = self.connections.iter().filter(|(_, c)| {
-            c.is_idle() && now.saturating_sub(c.active) >= IDLE_LEAST && is_silent(c.stream.socket())
+            let least = if c.spoken { spoken_least } else { MUTE_LEAST };
+            c.is_idle() && now.saturating_sub(c.active) >= least && is_silent(c.stream.socket())
         });
-        let Some(number) = idle.min_by_key(|(_, c)| c.active).map(|(n, _)| *n) else { return false };
+        let Some(number) = idle.min_by_key(|(_, c)| (c.spoken, c.active)).map(|(n, _)| *n) else {
+            return false;
+        };
         self.remove(number, counters, &mut Vec::new());
         true
     }
@@ -211,19 +238,17 @@
 
     fn read(&mut self, number: u64, now: Nanos, events: &mut Vec<FrontEvent>, counters: &mut Counters) {
         let Some(c) = self.connections.get_mut(&number) else { return };
-        let held = c.input.len();
-        if held >= INPUT_MAX {
+        if c.input.len() >= INPUT_MAX {
             // Not watched for reading, so this is a broken connection: nothing more can be answered on it.
             return self.remove(number, counters, events);
         }
-        c.input.resize(held + READ_SIZE.min(INPUT_MAX - held), 0);
-        let got = c.stream.socket().read(&mut c.input[held..]);
-        c.input.truncate(held + *got.as_ref().unwrap_or(&0));
-        match got {
+        let most = READ_SIZE.min(INPUT_MAX - c.input.len());
+        match c.stream.socket().read(&mut self.scratch[..most]) {
             Ok(0) => self.remove(number, counters, events),
-            Ok(_) => {
+            Ok(n) => {
+                c.input.extend_from_slice(&self.scratch[..n]);
                 c.active = now;
-                self.parse(number, events, counters);
+                self.parse(number, now, events, counters);
                 self.flush(number, now, events, counters);
             }
             Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
@@ -232,7 +257,7 @@
     }
 
     /// Takes the whole commands that have come, as many as may wait for their answers.
-    fn parse(&mut self, number: u64, events: &mut Vec<FrontEvent>, counters: &mut Counters) {
+    fn parse(&mut self, number: u64, now: Nanos, events: &mut Vec<FrontEvent>, counters: &mut Counters) {
         let Some(c) = self.connections.get_mut(&number) else { return };
         let mut at = 0;
         while c.takes_commands() {
@@ -241,6 +266,7 @@
                 Ok(Some((words, length))) => {
                     let input = &c.input[at..at + length];
                     at += length;
+                    (c.spoken, c.since) = (true, now);
                     let ticket = Ticket { request: RequestId(self.next_request), connection: number };
                     match command(input, &words, ticket, self.ready) {
                         Taken::Request(incoming) => {
@@ -270,7 +296,7 @@
             c.input.clear();
         }
         if c.input.is_empty() {
-            c.input.shrink_to(READ_SIZE);
+            c.input = Vec::new();
         }
     }
 
@@ -291,6 +317,8 @@
                 && let Some(Place::Answered(bytes)) = c.places.pop_front()
             {
                 c.output.extend_from_slice(&bytes);
+                // The client's next command is not late for what it had to wait.
+                c.since = now;
             }
             while c.unsent() > 0 {
                 match c.stream.socket().write(&c.output[c.written..]) {
@@ -305,9 +333,7 @@
                 }
             }
             if c.unsent() == 0 {
-                c.output.clear();
-                c.output.shrink_to(READ_SIZE);
-                c.written = 0;
+                (c.output, c.written) = (Vec::new(), 0);
             }
             let done = c.last || self.stopping && c.input.is_empty();
             if done && c.places.is_empty() && c.unsent() == 0 {
@@ -319,7 +345,7 @@
             // Commands that were left unread because too much was owed may go on now.
             let before = c.places.len();
             if !c.input.is_empty() && c.takes_commands() {
-                self.parse(number, events, counters);
+                self.parse(number, now, events, counters);
             }
             let Some(c) = self.connections.get_mut(&number) else { return };
             let more = matches!(c.places.front(), Some(Place::Answered(_))) && c.places.len() > before;
@@ -349,13 +375,44 @@
         self.pause(false);
     }
 
-    /// Looks for clients that take nothing of what they are owed, and tries the door again after an error.
+    /// Looks for clients that take nothing of what they are owed, say nothing or nothing whole, or are done, and tries
+    /// the door again after an error.
     pub fn sweep(&mut self, now: Nanos, events: &mut Vec<FrontEvent>, counters: &mut Counters) {
         let stuck = |c: &ClientConnection| c.unsent() > 0 && now.saturating_sub(c.active) > STUCK;
         let stuck: Vec<u64> = self.connections.iter().filter(|(_, c)| stuck(c)).map(|(n, _)| *n).collect();
         for number in stuck {
             self.remove(number, counters, events);
         }
+        // A client that says nothing, or half a command, must hold neither place nor memory for good.
+        let unfinished = |c: &ClientConnection| {
+            !(c.spoken && c.input.is_empty())
+                && c.takes_commands()
+                && c.places.is_empty()
+                && now.saturating_sub(c.since) >= UNFINISHED
+        };
+        let late: Vec<u64> =
+            self.connections.iter().filter(|(_, c)| unfinished(c)).map(|(n, _)| *n).collect();
+        for number in late {
+            counters.clients_unfinished += 1;
+            if let Some(c) = self.connections.get_mut(&number).filter(|c| !c.input.is_empty()) {
+                c.places.push_back(Place::Answered(error("ERR the command did not end in time")));
+                c.input = Vec::new();
+                c.last = true;
+                self.flush(number, now, events, counters);
+            } else {
+                self.remove(number, counters, events);
+            }
+        }
+        let crowded = self.connections.len() > self.most / 2;
+        let most = if crowded { IDLE_CROWDED } else { IDLE };
+        let done = |c: &ClientConnection| {
+            c.is_idle() && now.saturating_sub(c.active) >= most && is_silent(c.stream.socket())
+        };
+        let done: Vec<u64> = self.connections.iter().filter(|(_, c)| done(c)).map(|(n, _)| *n).collect();
+        for number in done {
+            counters.clients_idle += 1;
+            self.remove(number, counters, events);
+        }
         // Also at the limit: connections that were at work when the door was shut may be idle by now, and a
         // newcomer would wait for good if only a client's leaving could open it again.
         self.pause(false);
@@ -427,6 +484,9 @@
     value: Option<Vec<u8>>,
     ticket: Ticket,
 ) -> Result<Incoming, String> {
+    if key.is_empty() || id.is_empty() {
+        return Err("key or id is empty".into());
+    }
     let fields = std::str::from_utf8(fields).map_err(|_| "fields are not UTF-8".to_string())?;
     let (mut class, mut tenant, mut patience, mut kept) = (None, None, None, Vec::new());
     for field in fields.split(',').filter(|f| !f.is_empty()) {
@@ -443,12 +503,15 @@
     }
     let class = class.ok_or("field 'c' is missing")?;
     let patience = patience.ok_or("field 'd' is missing")?;
-    // Whatever a client writes, no time may overflow or run backwards.
-    let ms: f64 = patience.parse().map_err(|_| format!("field 'd': '{patience}' is no number"))?;
-    if !ms.is_finite() || ms < 0.0 {
+    // Whatever a client writes, no time may overflow or run backwards: digits alone, no sign, no "inf".
+    if !patience.bytes().all(|b| b.is_ascii_digit() || b == b'.') {
         return Err(format!("field 'd': '{patience}' is no time"));
     }
-    let patience = (ms.min(PATIENCE_MAX) * MS as f64) as Nanos;
+    let ms: f64 = patience.parse().map_err(|_| format!("field 'd': '{patience}' is no number"))?;
+    if ms > PATIENCE_MAX {
+        return Err(format!("field 'd': '{patience}' is too long a time"));
+    }
+    let patience = (ms * MS as f64) as Nanos;
     let order = Order { value, key: key.to_vec(), id: id.to_vec(), fields: kept };
     Ok(Incoming { ticket, class, tenant, patience, order })
 }
@@ -469,6 +532,7 @@
         FinalAnswer::Refused { retry_after: 0 } => error("BUSY"),
         FinalAnswer::Refused { retry_after } => error(&format!("BUSY {}", retry_after.div_ceil(MS))),
         FinalAnswer::Failed => error("ERR failed"),
+        FinalAnswer::Invalid(problem) => error(&format!("ERR {problem}")),
     }
 }
 
@@ -508,6 +572,49 @@
         assert_eq!((counters.clients_accepted, counters.clients_closed), (2, 1), "idle by now");
     }
 
+    #[test]
+    fn who_says_nothing_or_half_a_command_or_is_done_is_closed_in_time() {
+        let (mut front, connect) = front(9);
+        let (mut counters, mut events) = (Counters::default(), Vec::new());
+        let mut clients: Vec<TcpStream> = (0..3).map(|_| connect()).collect();
+        front.accept(0, &mut counters);
+        clients[1].write_all(b"*2\r\n$5").unwrap();
+        clients[2].write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+        for number in 0..3 {
+            let ready = Ready { source: Source::Client(number), readable: true, writable: false };
+            front.ready(1, ready, &mut events, &mut counters);
+        }
+        front.sweep(UNFINISHED - 1, &mut events, &mut counters);
+        assert_eq!(front.connections.len(), 3);
+        front.sweep(UNFINISHED, &mut events, &mut counters);
+        assert_eq!((front.connections.len(), counters.clients_unfinished), (1, 2));
+        let mut text = String::new();
+        clients[1].read_to_string(&mut text).unwrap();
+        assert_eq!(text, "-ERR the command did not end in time\r\n");
+        front.sweep(IDLE, &mut events, &mut counters);
+        assert_eq!((front.connections.len(), counters.clients_idle), (1, 0), "not yet");
+        front.set_most(1);
+        front.sweep(IDLE, &mut events, &mut counters);
+        assert_eq!((front.connections.len(), counters.clients_idle), (0, 1), "crowded");
+    }
+
+    #[test]
+    fn clients_that_say_nothing_do_not_push_out_those_that_do() {
+        let (mut front, connect) = front(2);
+        let mut counters = Counters::default();
+        let mut usual = connect();
+        front.accept(0, &mut counters);
+        usual.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+        let ready = Ready { source: Source::Client(0), readable: true, writable: false };
+        front.ready(0, ready, &mut Vec::new(), &mut counters);
+        let _mute: Vec<TcpStream> = (0..4).map(|_| connect()).collect();
+        for turn in 1..9 {
+            front.accept(turn * IDLE_LEAST, &mut counters);
+            front.pause(false);
+        }
+        assert!(front.connections.contains_key(&0) && counters.clients_accepted == 5);
+    }
+
     #[test]
     fn a_client_that_never_sends_does_not_keep_a_stopped_front_open() {
         let (mut front, connect) = front(9);
--- a/balancer/src/peers.rs
+++ b/balancer/src/peers.rs
@@ -3,7 +3,7 @@
 
 use crate::counters::Counters;
 use crate::poll::{Poll, Ready, Source, Watched, connect, is_silent};
-use crate::resp::{MESSAGE_MAX, Reply, read_reply};
+use crate::resp::{Answer, MESSAGE_MAX, Reply, RespError, read_answer, read_reply};
 use crate::timers::{Due, MS, Timers};
 use finchyard::{AttemptNo, Nanos, RequestId, ServerId};
 use std::collections::{BTreeMap, HashMap};
@@ -12,6 +12,10 @@
 
 /// One read takes at most this much.
 const READ_SIZE: usize = 32 * 1024;
+/// A connection should rest this long after an answer before it carries the next job, and must until the next turn
+/// of the loop: what comes right behind an answer and doesn't belong to it is found by then, and is never taken
+/// for the next answer.
+const REST: Nanos = 2 * MS;
 /// Of all connections to peers, one peer gets at most this part.
 const PEER_PART: usize = 4;
 
@@ -39,11 +43,15 @@
 /// How a job ended.
 #[derive(Debug, PartialEq, Eq)]
 pub enum JobEnd {
-    /// The peer's reply.
+    /// The peer's reply to a probe.
     Reply(Reply),
+    /// The peer's answer to a try.
+    Answer(Answer),
+    /// What came can't be read: it ran.
+    Spoilt,
     /// No connection came up, or it broke before the last byte was written: it never ran.
     NeverSent,
-    /// The connection broke after that, or what came was no RESP: it may have run.
+    /// The connection broke after that: it may have run.
     Broken,
     /// There is no place for another connection: it never ran, and says nothing of the peer.
     NoPlace,
@@ -65,6 +73,8 @@
     Busy(Job),
     Idle {
         since: Nanos,
+        /// In which turn of the loop it was answered.
+        turn: u64,
     },
 }
 
@@ -111,6 +121,9 @@
     connect_timeout: Nanos,
     /// Idle connections are closed after this, before the peer would.
     idle_time: Nanos,
+    /// What one read takes.
+    scratch: Vec<u8>,
+    turn: u64,
 }
 
 impl Peers {
@@ -127,6 +140,8 @@
             // A job written to a connection that the peer has just closed ends as a reset, and a write that may
             // have run can't be repeated: leave well before that.
             idle_time: conn_idle / 4 * 3,
+            scratch: vec![0; READ_SIZE],
+            turn: 0,
         }
     }
 
@@ -166,7 +181,7 @@
         events: &mut Vec<PeerEvent>,
         counters: &mut Counters,
     ) {
-        while let Some(number) = self.peers.get_mut(&server).and_then(|p| p.idle.pop()) {
+        while let Some(number) = self.take_idle(now, server) {
             // It may have ended since it was last looked at; a job written to it would be lost as a reset.
             if !self.connections.get(&number).is_some_and(|c| is_silent(c.stream.socket())) {
                 self.remove(number, counters);
@@ -204,6 +219,22 @@
         }
     }
 
+    /// The loop looks anew at what is ready.
+    pub fn next_turn(&mut self) {
+        self.turn += 1;
+    }
+
+    /// The idle connection used last among those that have rested, or else of those that have not just answered.
+    fn take_idle(&mut self, now: Nanos, server: ServerId) -> Option<u64> {
+        let idle = &mut self.peers.get_mut(&server)?.idle;
+        let state = |n: &u64| self.connections.get(n).map(|c| &c.state);
+        let rested =
+            |n| matches!(state(n), Some(State::Idle { since, .. }) if now.saturating_sub(*since) >= REST);
+        let earlier = |n| matches!(state(n), Some(State::Idle { turn, .. }) if *turn < self.turn);
+        let place = idle.iter().rposition(rested).or_else(|| idle.iter().rposition(earlier))?;
+        Some(idle.remove(place))
+    }
+
     /// Begins a connection, or says how the job that needed it ends.
     fn open(&mut self, server: ServerId, counters: &mut Counters) -> Result<TcpStream, JobEnd> {
         let peer = self.peers.get(&server).ok_or(JobEnd::NeverSent)?;
@@ -229,7 +260,7 @@
     /// Closes the connection that has been idle longest, if one is.
     fn make_room(&mut self, counters: &mut Counters) -> bool {
         let idle = self.connections.iter().filter_map(|(n, c)| match c.state {
-            State::Idle { since } => Some((since, *n)),
+            State::Idle { since, .. } => Some((since, *n)),
             _ => None,
         });
         let Some((_, number)) = idle.min() else { return false };
@@ -292,16 +323,12 @@
 
     fn read(&mut self, number: u64, now: Nanos, events: &mut Vec<PeerEvent>, counters: &mut Counters) {
         let Some(c) = self.connections.get_mut(&number) else { return };
-        let held = c.input.len();
-        c.input.resize(held + READ_SIZE, 0);
-        let got = c.stream.socket().read(&mut c.input[held..]);
-        c.input.truncate(held + *got.as_ref().unwrap_or(&0));
-        match got {
+        match c.stream.socket().read(&mut self.scratch) {
             Ok(0) => {
                 let end = c.broken();
                 return self.end(number, end, events, counters);
             }
-            Ok(_) => {}
+            Ok(n) => c.input.extend_from_slice(&self.scratch[..n]),
             Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => return,
             Err(_) => {
                 let end = c.broken();
@@ -312,33 +339,29 @@
             // Something comes that nobody asked for: whose answer it would be taken for is unknown.
             return self.end(number, JobEnd::Broken, events, counters);
         };
-        match read_reply(&c.input) {
-            Ok(None) if c.input.len() < MESSAGE_MAX => {}
-            Ok(Some((reply, length))) if length == c.input.len() && c.written == c.output.len() => {
-                c.state = State::Idle { since: now };
-                (c.input, c.output, c.written) = (Vec::new(), Vec::new(), 0);
-                self.jobs.remove(&job);
-                if let Some(peer) = self.peers.get_mut(&c.server) {
-                    peer.idle.push(number);
-                }
-                events.push(PeerEvent { job, end: JobEnd::Reply(reply) });
-            }
-            Ok(Some((reply, _))) => {
-                // The reply came early or has something behind it: good for this job, but not for another.
-                log::debug!("server {}: there is more behind a reply, the connection is closed", c.server.0);
-                self.remove(number, counters);
-                events.push(PeerEvent { job, end: JobEnd::Reply(reply) });
-            }
+        let unwritten = c.written < c.output.len();
+        let (end, length) = match read_end(job, &c.input) {
+            Ok(None) if c.input.len() < MESSAGE_MAX => return,
+            Ok(Some((end, length))) => (end, length),
             Ok(None) | Err(_) => {
                 let start = c.input[..c.input.len().min(64)].escape_ascii();
-                log::debug!(
-                    "server {}: a reply can't be read, the connection is closed: {start}",
-                    c.server.0
-                );
-                let end = c.broken();
-                self.end(number, end, events, counters);
+                log::debug!("server {}: an answer can't be read: {start}", c.server.0);
+                counters.spoilt += 1;
+                // Before the last byte of the command nothing can have run.
+                (if unwritten { JobEnd::NeverSent } else { JobEnd::Spoilt }, None)
             }
+        };
+        if length != Some(c.input.len()) || unwritten {
+            // It came early, can't be read or has something behind it: where the next answer would begin is unknown.
+            return self.end(number, end, events, counters);
         }
+        c.state = State::Idle { since: now, turn: self.turn };
+        (c.input, c.output, c.written) = (Vec::new(), Vec::new(), 0);
+        self.jobs.remove(&job);
+        if let Some(peer) = self.peers.get_mut(&c.server) {
+            peer.idle.push(number);
+        }
+        events.push(PeerEvent { job, end });
     }
 
     /// Closes a connection and says how its job ended.
@@ -390,7 +413,7 @@
 
     /// Closes connections that have stood idle for long.
     pub fn sweep(&mut self, now: Nanos, counters: &mut Counters) {
-        let old = |c: &PeerConnection| matches!(c.state, State::Idle { since } if now.saturating_sub(since) >= self.idle_time.max(MS));
+        let old = |c: &PeerConnection| matches!(c.state, State::Idle { since, .. } if now.saturating_sub(since) >= self.idle_time.max(MS));
         let old: Vec<u64> = self.connections.iter().filter(|(_, c)| old(c)).map(|(n, _)| *n).collect();
         for number in old {
             self.remove(number, counters);
@@ -398,6 +421,14 @@
     }
 }
 
+/// How a job ended by what has come for it, and the length of that unless the connection is of no further use.
+fn read_end(job: Job, input: &[u8]) -> Result<Option<(JobEnd, Option<usize>)>, RespError> {
+    Ok(match job {
+        Job::Try(..) => read_answer(input)?.map(|(answer, length)| (JobEnd::Answer(answer), length)),
+        Job::Probe(_) => read_reply(input)?.map(|(reply, length)| (JobEnd::Reply(reply), Some(length))),
+    })
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -411,6 +442,7 @@
         timers: Timers,
         counters: Counters,
         events: Vec<PeerEvent>,
+        now: Nanos,
     }
 
     fn stage() -> Stage {
@@ -418,18 +450,18 @@
         let (poll, mut counters) = (Poll::new().unwrap(), Counters::default());
         let mut peers = Peers::new(&poll, 8, MS, 1000 * MS);
         peers.set_address(SERVER, peer.local_addr().unwrap(), &mut counters);
-        Stage { peers, peer, timers: Timers::default(), counters, events: Vec::new() }
+        Stage { peers, peer, timers: Timers::default(), counters, events: Vec::new(), now: 0 }
     }
 
     impl Stage {
         fn dispatch(&mut self, probe: u64, command: Vec<u8>) {
             let outgoing = Outgoing { job: Job::Probe(probe), server: SERVER, until: MS, command };
-            self.peers.dispatch(0, outgoing, &mut self.timers, &mut self.events, &mut self.counters);
+            self.peers.dispatch(self.now, outgoing, &mut self.timers, &mut self.events, &mut self.counters);
         }
 
         fn ready(&mut self, number: u64) {
             let ready = Ready { source: Source::Peer(number), readable: true, writable: true };
-            self.peers.ready(0, ready, &mut self.events, &mut self.counters);
+            self.peers.ready(self.now, ready, &mut self.events, &mut self.counters);
         }
 
         fn ends(&mut self) -> Vec<JobEnd> {
@@ -448,6 +480,7 @@
         s.ready(0);
         assert_eq!(s.ends(), [JobEnd::Reply(Reply::Status("PONG".into()))]);
         drop(first);
+        s.peers.next_turn();
         s.dispatch(2, b"two".to_vec());
         assert_eq!((s.counters.peers_opened, s.counters.peers_closed), (2, 1));
         let mut second = s.peer.accept().unwrap().0;
@@ -456,6 +489,30 @@
         assert_eq!(s.ends(), []);
     }
 
+    #[test]
+    fn what_comes_right_behind_an_answer_is_never_the_next_one() {
+        let mut s = stage();
+        s.dispatch(1, b"one".to_vec());
+        let mut first = s.peer.accept().unwrap().0;
+        s.ready(0);
+        first.write_all(b"+PONG\r\n").unwrap();
+        s.ready(0);
+        // In the same turn it could not be seen yet.
+        s.dispatch(2, b"two".to_vec());
+        assert_eq!((s.counters.peers_opened, s.counters.peers_closed), (2, 0));
+        let mut second = s.peer.accept().unwrap().0;
+        s.ready(1);
+        s.peers.next_turn();
+        second.write_all(b"+PONG\r\n").unwrap();
+        s.now = REST;
+        s.ready(1);
+        s.peers.next_turn();
+        // Of two the one that has rested is taken, though the other was used last.
+        assert_eq!(s.peers.take_idle(REST, SERVER), Some(0));
+        assert_eq!(s.peers.take_idle(REST, SERVER), Some(1));
+        assert_eq!(s.peers.take_idle(REST, SERVER), None);
+    }
+
     #[test]
     fn a_job_whose_connection_comes_up_too_late_is_never_written() {
         type Late = fn(&mut Stage);
--- a/balancer/src/request.rs
+++ b/balancer/src/request.rs
@@ -61,6 +61,8 @@
     },
     /// Failed.
     Failed,
+    /// The request makes no sense, so it was passed on to nobody; why.
+    Invalid(&'static str),
 }
 
 /// One attempt at a peer.
@@ -83,14 +85,12 @@
     pub deadline: Nanos,
     /// Tries that are out.
     pub out: BTreeMap<AttemptNo, Try>,
-    /// How many tries there were.
-    pub tries: u32,
 }
 
 impl RequestContext {
     /// The context of a request that has just come.
     pub fn new(ticket: Ticket, order: Order, deadline: Nanos) -> Self {
-        RequestContext { owed: Some(ticket), order, deadline, out: BTreeMap::new(), tries: 0 }
+        RequestContext { owed: Some(ticket), order, deadline, out: BTreeMap::new() }
     }
 
     /// Nothing is owed and nothing expected any more.
--- a/balancer/src/timers.rs
+++ b/balancer/src/timers.rs
@@ -1,8 +1,8 @@
-//! What is due when. A timer is never taken back: who gets one that is out of date ignores it.
+//! What is due when. Who gets a timer that is out of date ignores it; those that could stand for long are taken
+//! back, or a day of many short requests with long deadlines would heap them up.
 
 use finchyard::{AttemptNo, Nanos, RequestId, Token};
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// One millisecond.
@@ -28,7 +28,7 @@
 }
 
 /// What a timer was set for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Due {
     /// The module wants to be woken.
     Module(Token),
@@ -49,26 +49,40 @@
 /// All timers.
 #[derive(Default)]
 pub struct Timers {
-    heap: BinaryHeap<Reverse<(Nanos, u64, Due)>>,
+    /// By time, then in the order in which they were set.
+    queue: BTreeMap<(Nanos, u64), Due>,
+    places: HashMap<Due, (Nanos, u64)>,
     set: u64,
 }
 
 impl Timers {
-    /// Sets a timer.
+    /// Sets a timer, or sets it anew.
     pub fn set(&mut self, at: Nanos, due: Due) {
+        self.cancel(due);
         self.set += 1;
-        self.heap.push(Reverse((at, self.set, due)));
+        self.queue.insert((at, self.set), due);
+        self.places.insert(due, (at, self.set));
+    }
+
+    /// Takes a timer back, if it is still set.
+    pub fn cancel(&mut self, due: Due) {
+        if let Some(place) = self.places.remove(&due) {
+            self.queue.remove(&place);
+        }
     }
 
     /// The next one that is due at `now`; among equals the one set first.
     pub fn pop(&mut self, now: Nanos) -> Option<Due> {
-        let due = self.heap.peek().is_some_and(|Reverse((at, ..))| *at <= now);
-        if due { self.heap.pop().map(|Reverse((.., due))| due) } else { None }
+        let next = self.queue.first_entry().filter(|next| next.key().0 <= now)?;
+        let due = next.remove();
+        self.places.remove(&due);
+        Some(due)
     }
 
     /// How long until the next one.
     pub fn wait(&self, now: Nanos) -> Option<Duration> {
-        self.heap.peek().map(|Reverse((at, ..))| Duration::from_nanos(at.saturating_sub(now)))
+        let (at, _) = self.queue.first_key_value()?.0;
+        Some(Duration::from_nanos(at.saturating_sub(now)))
     }
 }
 
@@ -86,5 +100,11 @@
         assert_eq!(timers.wait(4), Some(Duration::from_nanos(6)));
         assert_eq!([timers.pop(10), timers.pop(10)], [Some(Due::Connect(1)), Some(Due::Connect(0))]);
         assert_eq!([timers.pop(19), timers.pop(30)], [None, Some(Due::Sweep)]);
+        timers.set(40, Due::Probe(1));
+        timers.set(50, Due::Probe(2));
+        timers.set(60, Due::Probe(1));
+        timers.cancel(Due::Probe(2));
+        assert_eq!([timers.pop(59), timers.pop(60), timers.pop(99)], [None, Some(Due::Probe(1)), None]);
+        assert!(timers.queue.is_empty() && timers.places.is_empty());
     }
 }
--- a/src/api.rs
+++ b/src/api.rs
@@ -281,8 +281,10 @@
     Moot,
     /// The cache holds no value for the key.
     Miss,
-    /// Something this version has no name for; may have run.
+    /// Something this version has no name for, or that can't be read; may have run.
     Unknown,
+    /// The server says that the request itself is of no use; so would every other.
+    Unfit,
 }
 
 impl Outcome {
@@ -386,6 +388,8 @@
     Send {
         /// The request.
         request: RequestId,
+        /// Which of its attempts this is.
+        attempt: AttemptNo,
         /// Where to.
         server: ServerId,
         /// Its time-out; `None`: until the client gives up.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -12,6 +12,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 const SLOTS: usize = 65_536; // So many that each of 150 servers has its even share to a twentieth.
+const SLOTS_KEPT: usize = 4_096; // Beyond that candidates are worked out anew: all would take megabytes.
 const MS: Nanos = 1_000_000;
 const SEC: f64 = 1e9;
 const QUANTILE: f64 = 0.99; // T is this quantile of the record, by the design.
@@ -302,6 +303,9 @@
 
     fn candidates(&mut self, slot: usize) -> Vec<ServerId> {
         if !self.slots.contains_key(&slot) {
+            if self.slots.len() >= SLOTS_KEPT {
+                self.slots.clear();
+            }
             let ranked = self.ranking(slot).into_iter().take(CANDIDATES).collect();
             self.slots.insert(slot, ranked);
         }
@@ -579,7 +583,7 @@
         let (zone, cell) = (s.entry.zone, s.entry.cell);
         r.attempts.push(Attempt { server: id, zone, cell, sent: self.now, ended: None, origin });
         r.held_since = None;
-        self.actions.push(Action::Send { request: r.new.id, server: id, timeout });
+        self.actions.push(Action::Send { request: r.new.id, attempt: number, server: id, timeout });
         if safe && !origin && !r.copied && self.settings.limits.second_copies {
             self.timer(self.late_after(left), Timer::Copy(r.new.id));
         }
@@ -622,6 +626,8 @@
         }
         if end.finished || r.done {
             self.close(r, None);
+        } else if end.outcome == Outcome::Unfit {
+            self.close(r, Some(Action::Fail(r.new.id)));
         } else if end.outcome == Outcome::Miss && self.settings.origin != Origin::Through {
             self.advance(r);
         } else if r.out() == 0 {
@@ -798,7 +804,8 @@
             Outcome::Timeout => s.strikes += f64::from(s.last_answer <= sent),
             // Cancelled when overdue and nothing heard since: silence, though nobody waited for its end.
             Outcome::Cancelled if end.latency >= overdue && s.last_answer <= sent => s.strikes += 1.0,
-            Outcome::Full | Outcome::Cancelled | Outcome::Moot | Outcome::Unknown => {}
+            // What can't be read, or suits no server, speaks against none.
+            Outcome::Full | Outcome::Cancelled | Outcome::Moot | Outcome::Unknown | Outcome::Unfit => {}
         }
         if matches!(end.outcome, Outcome::Full | Outcome::Timeout) {
             s.limit = (s.limit * REJECT_CUT).max(LIMIT_MIN);
--- a/wirehost/src/host.rs
+++ b/wirehost/src/host.rs
@@ -208,7 +208,7 @@
 
 fn action(router: &str, action: Action) -> Value {
     match action {
-        Action::Send { request, server, timeout } => {
+        Action::Send { request, server, timeout, .. } => {
             json!(["deliver", router, write_id(request), server.0, timeout.unwrap_or(0)])
         }
         Action::Fail(request) => json!(["report_failure", router, write_id(request)]),
