Take 128 commands a connection at once and give a silent discovery up sooner

Read beside the protocol: a command behind 16 unanswered ones stayed unread while its time ran (OWED_MAX); a discovery that is cut off was noticed after 5 s, a call without an answer after 8 s, while changes count as told after 6 s (SILENCE, SILENCE_BEFORE; a connection that does not come up had the same 8 s); a mute connection was closed without a look whether its command had just come. Each has a test that fails without it.

Tried and taken out: new connections for writes that must not run twice, once a used one was lost under a job.

--- a/balancer/src/front/resp.rs
+++ b/balancer/src/front/resp.rs
@@ -12,7 +12,7 @@
 use std::ops::Range;
 
 /// Commands of one connection that may wait for their answers; the next ones stay unread.
-const OWED_MAX: usize = 16;
+const OWED_MAX: usize = 128;
 /// A connection with more than this still to be written gets no further command read.
 const UNSENT_MAX: usize = 2 * VALUE_MAX;
 /// One read takes at most this much.
@@ -389,6 +389,8 @@
                 && c.takes_commands()
                 && c.places.is_empty()
                 && now.saturating_sub(c.since) >= UNFINISHED
+                // What has come but is not read yet may end it.
+                && is_silent(c.stream.socket())
         };
         let late: Vec<u64> =
             self.connections.iter().filter(|(_, c)| unfinished(c)).map(|(n, _)| *n).collect();
@@ -579,15 +581,19 @@
         let mut clients: Vec<TcpStream> = (0..3).map(|_| connect()).collect();
         front.accept(0, &mut counters);
         clients[1].write_all(b"*2\r\n$5").unwrap();
+        let mut unread = connect();
+        front.accept(0, &mut counters);
+        unread.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
         clients[2].write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
         for number in 0..3 {
             let ready = Ready { source: Source::Client(number), readable: true, writable: false };
             front.ready(1, ready, &mut events, &mut counters);
         }
         front.sweep(UNFINISHED - 1, &mut events, &mut counters);
-        assert_eq!(front.connections.len(), 3);
+        assert_eq!(front.connections.len(), 4);
         front.sweep(UNFINISHED, &mut events, &mut counters);
-        assert_eq!((front.connections.len(), counters.clients_unfinished), (1, 2));
+        assert_eq!((front.connections.len(), counters.clients_unfinished), (2, 2), "one is only unread");
+        drop(front.connections.remove(&3));
         let mut text = String::new();
         clients[1].read_to_string(&mut text).unwrap();
         assert_eq!(text, "-ERR the command did not end in time\r\n");
@@ -598,6 +604,19 @@
         assert_eq!((front.connections.len(), counters.clients_idle), (0, 1), "crowded");
     }
 
+    #[test]
+    fn a_hundred_commands_at_once_are_all_taken_without_waiting_for_answers() {
+        let (mut front, connect) = front(9);
+        let (mut counters, mut events) = (Counters::default(), Vec::new());
+        let mut client = connect();
+        front.accept(0, &mut counters);
+        let command = resp::write_command(&[b"C.GET", b"a", b"1", b"c=read,d=9"]);
+        client.write_all(&command.repeat(100)).unwrap();
+        let ready = Ready { source: Source::Client(0), readable: true, writable: false };
+        front.ready(0, ready, &mut events, &mut counters);
+        assert_eq!(events.len(), 100);
+    }
+
     #[test]
     fn clients_that_say_nothing_do_not_push_out_those_that_do() {
         let (mut front, connect) = front(2);
--- a/balancer/src/upstream_group.rs
+++ b/balancer/src/upstream_group.rs
@@ -10,9 +10,12 @@
 use std::net::{SocketAddr, TcpStream};
 
 /// A watch is broken when nothing has come for this long: an empty line is due every 2 s.
-const SILENCE: Nanos = 5_000 * MS;
-/// Until the answer begins more patience is due: calls wait in turn, and asking anew goes to the end of the line.
-const SILENCE_BEFORE: Nanos = 8_000 * MS;
+const SILENCE: Nanos = 3_500 * MS;
+/// Until the answer begins more patience is due: calls wait in turn, and asking anew goes to the end of the line. But
+/// what is not heard of counts as told all the same, some seconds later.
+const SILENCE_BEFORE: Nanos = 5_000 * MS;
+/// A connection to discovery must be up within this: a machine that is cut off refuses none.
+const CONNECT: Nanos = 1_000 * MS;
 /// The longest line, and so the largest list.
 const LINE_MAX: usize = 4 << 20;
 /// One read takes at most this much.
@@ -141,7 +144,7 @@
                     text: Vec::new(),
                     heard: now,
                 });
-                timers.set(now + SILENCE, Due::Discovery(number));
+                timers.set(now + CONNECT, Due::Discovery(number));
                 None
             }
             Err(e) => {
@@ -209,11 +212,16 @@
         counters: &mut Counters,
     ) {
         let Some(call) = self.call.as_ref().filter(|c| c.number == number) else { return };
-        let due = call.heard + if call.body.is_some() { SILENCE } else { SILENCE_BEFORE };
+        let due = call.heard
+            + match (&call.body, call.written) {
+                (Some(_), _) => SILENCE,
+                (None, 0) => CONNECT,
+                (None, _) => SILENCE_BEFORE,
+            };
         if now < due {
             return timers.set(due, Due::Discovery(number));
         }
-        log::warn!("discovery at {}: silent", self.address);
+        log::warn!("discovery at {}: silent for {} ms", self.address, now.saturating_sub(call.heard) / MS);
         self.fail(events, counters);
     }
 
@@ -357,3 +365,35 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::net::TcpListener;
+
+    #[test]
+    fn a_discovery_that_says_nothing_is_given_up_by_how_far_the_call_has_come() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let poll = Poll::new().unwrap();
+        for (up, answer, given_up) in [(false, "", CONNECT), (true, "", SILENCE_BEFORE), (true, "x", SILENCE)]
+        {
+            let mut group = UpstreamGroup::new(&poll, listener.local_addr().unwrap(), None);
+            let (mut timers, mut counters, mut events) = (Timers::default(), Counters::default(), Vec::new());
+            assert!(group.watch(0, &mut timers, &mut counters).is_none());
+            let mut discovery = listener.accept().unwrap().0;
+            if up {
+                let ready = Ready { source: Source::Discovery(0), readable: false, writable: true };
+                group.ready(0, ready, &mut events, &mut counters);
+            }
+            if !answer.is_empty() {
+                discovery.write_all(b"HTTP/1.1 200 OK\r\n\r\n").unwrap();
+                let ready = Ready { source: Source::Discovery(0), readable: true, writable: false };
+                group.ready(0, ready, &mut events, &mut counters);
+            }
+            for (now, ends) in [(given_up - 1, 0), (given_up, 1)] {
+                group.due(now, 0, &mut timers, &mut events, &mut counters);
+                assert_eq!(events.len(), ends, "{up} {answer} at {now}");
+            }
+        }
+    }
+}
