In a crowd close the client connections that are idle longest

Traced connection by connection: each carries one request, stands idle for 1 to 2 s and is then ended by its client; some 110 new ones a second come instead of 300, while 95 places are free. So the clients' own limit (a third of the descriptors, 128) is full of connections that wait for an end.

Test: in_a_crowd_..., fails without it.

--- a/balancer/src/event_loop.rs
+++ b/balancer/src/event_loop.rs
@@ -25,7 +25,7 @@
 /// Of the memory, requests and answers together may hold this part.
 const MEMORY_PART: usize = 4;
 /// How often idle and stuck connections are looked for.
-const SWEEP: Nanos = 100 * MS;
+const SWEEP: Nanos = 50 * MS;
 /// A probe is given up after this.
 const PROBE_TIMEOUT: Nanos = 500 * MS;
 /// How long new connections are taken after a request to stop: they keep coming for up to 0.4 s.
--- a/balancer/src/front/resp.rs
+++ b/balancer/src/front/resp.rs
@@ -29,6 +29,9 @@
 const IDLE: Nanos = 10_000 * MS;
 /// ... or, with more than half of the places taken, after this.
 const IDLE_CROWDED: Nanos = 2_000 * MS;
+/// Beyond this part of the places, in hundredths, those that are idle longest are closed. Clients that ask once on a
+/// connection and keep it have a limit of their own: while they wait for the end of old ones they can't ask anew.
+const CROWD: usize = 40;
 /// A connection that stands idle this long may be closed for a newcomer ...
 const IDLE_LEAST: Nanos = 100 * MS;
 /// ... and one on which nothing ever came, after this.
@@ -410,7 +413,21 @@
         let done = |c: &ClientConnection| {
             c.is_idle() && now.saturating_sub(c.active) >= most && is_silent(c.stream.socket())
         };
-        let done: Vec<u64> = self.connections.iter().filter(|(_, c)| done(c)).map(|(n, _)| *n).collect();
+        let mut done: Vec<u64> = self.connections.iter().filter(|(_, c)| done(c)).map(|(n, _)| *n).collect();
+        let most = self.most * CROWD / 100;
+        let beyond = self.connections.len().saturating_sub(done.len()).saturating_sub(most);
+        let idle = |c: &ClientConnection| {
+            c.spoken
+                && c.is_idle()
+                && now.saturating_sub(c.active) >= IDLE_LEAST
+                && is_silent(c.stream.socket())
+        };
+        if beyond > 0 {
+            let idle = self.connections.iter().filter(|(n, c)| idle(c) && !done.contains(n));
+            let mut idle: Vec<(Nanos, u64)> = idle.map(|(n, c)| (c.active, *n)).collect();
+            idle.sort_unstable();
+            done.extend(idle.into_iter().take(beyond).map(|(_, number)| number));
+        }
         for number in done {
             counters.clients_idle += 1;
             self.remove(number, counters, events);
@@ -576,7 +593,7 @@
 
     #[test]
     fn who_says_nothing_or_half_a_command_or_is_done_is_closed_in_time() {
-        let (mut front, connect) = front(9);
+        let (mut front, connect) = front(20);
         let (mut counters, mut events) = (Counters::default(), Vec::new());
         let mut clients: Vec<TcpStream> = (0..3).map(|_| connect()).collect();
         front.accept(0, &mut counters);
@@ -604,6 +621,25 @@
         assert_eq!((front.connections.len(), counters.clients_idle), (0, 1), "crowded");
     }
 
+    #[test]
+    fn in_a_crowd_those_that_are_idle_longest_are_closed_and_the_last_used_stay() {
+        let (mut front, connect) = front(10);
+        let (mut counters, mut events) = (Counters::default(), Vec::new());
+        let mut clients = Vec::new();
+        for number in 0..6 {
+            let mut client = connect();
+            front.accept(number, &mut counters);
+            client.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+            clients.push(client);
+            let ready = Ready { source: Source::Client(number), readable: true, writable: false };
+            front.ready(number, ready, &mut events, &mut counters);
+        }
+        front.sweep(IDLE_LEAST - 1, &mut events, &mut counters);
+        assert_eq!(front.connections.len(), 6, "not at once");
+        front.sweep(IDLE_LEAST + 9, &mut events, &mut counters);
+        assert_eq!(front.connections.keys().copied().collect::<Vec<_>>(), [2, 3, 4, 5]);
+    }
+
     #[test]
     fn a_hundred_commands_at_once_are_all_taken_without_waiting_for_answers() {
         let (mut front, connect) = front(9);
