Take values of up to 1 MiB from caches, and draw far slower servers last

Change: an answer's value may hold 1 MiB; answers that have begun hold at most an eighth of the memory limit together, beyond which one is spoilt. A server whose mean latency is over three times the middle one is not calm; its mean fades while it is left out, so it gets trials.

--- a/balancer/src/event_loop.rs
+++ b/balancer/src/event_loop.rs
@@ -109,6 +109,7 @@
             poll,
             config,
         };
+        me.peers.set_coming_most(me.memory / 2);
         me.timers.set(now + SWEEP, Due::Sweep);
         if let Some(list) = known {
             me.list(list, true);
@@ -468,6 +469,7 @@
         self.memory = new.memory / MEMORY_PART;
         let (for_peers, for_clients) = split_sockets(new.sockets);
         self.peers.set_most(for_peers);
+        self.peers.set_coming_most(self.memory / 2);
         self.front.set_most(for_clients);
         let failed = self.group.move_to(new.discovery, now, &mut self.timers, &mut self.counters);
         self.group_events(failed.into_iter().collect());
--- a/balancer/src/peers.rs
+++ b/balancer/src/peers.rs
@@ -3,7 +3,7 @@
 
 use crate::counters::Counters;
 use crate::poll::{Poll, Ready, Source, Watched, connect, is_silent};
-use crate::resp::{Answer, MESSAGE_MAX, Reply, RespError, read_answer, read_reply};
+use crate::resp::{ANSWER_MAX, Answer, Reply, RespError, read_answer, read_reply};
 use crate::timers::{Due, MS, Timers};
 use finchyard::{AttemptNo, Nanos, RequestId, ServerId};
 use std::collections::{BTreeMap, HashMap};
@@ -126,6 +126,9 @@
     next_connection: u64,
     most: usize,
     connect_timeout: Nanos,
+    /// Bytes of answers that have begun, and how many there may be.
+    coming: usize,
+    coming_most: usize,
     /// Idle connections are closed after this, before the peer would.
     idle_time: Nanos,
     /// What one read takes.
@@ -147,6 +150,8 @@
             // A job written to a connection that the peer has just closed ends as a reset, and a write that may
             // have run can't be repeated: leave well before that.
             idle_time: conn_idle / 4 * 3,
+            coming: 0,
+            coming_most: usize::MAX,
             scratch: vec![0; READ_SIZE],
             turn: 0,
         }
@@ -157,6 +162,12 @@
         self.most = most;
     }
 
+    /// From now on answers that have begun hold at most this many bytes together; one that would go beyond it counts
+    /// as spoilt.
+    pub fn set_coming_most(&mut self, bytes: usize) {
+        self.coming_most = bytes;
+    }
+
     /// Where a peer is to be reached from now on; connections to its former address carry nothing new. Tells
     /// whether that is news.
     pub fn set_address(&mut self, server: ServerId, address: SocketAddr, counters: &mut Counters) -> bool {
@@ -383,6 +394,7 @@
             Ok(n) => {
                 c.came = now;
                 c.input.extend_from_slice(&self.scratch[..n]);
+                self.coming += n;
             }
             Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => return,
             Err(_) => {
@@ -396,7 +408,7 @@
         };
         let unwritten = c.written < c.output.len();
         let (end, length) = match read_end(job, &c.input) {
-            Ok(None) if c.input.len() < MESSAGE_MAX => {
+            Ok(None) if c.input.len() < ANSWER_MAX && self.coming <= self.coming_most => {
                 if !unwritten {
                     timers.set(now + STALL, Due::Stall(number));
                 }
@@ -415,6 +427,7 @@
             // It came early, can't be read or has something behind it: where the next answer would begin is unknown.
             return self.end(number, end, events, counters);
         }
+        self.coming -= c.input.len();
         c.state = State::Idle { since: now, turn: self.turn };
         (c.input, c.output, c.written) = (Vec::new(), Vec::new(), 0);
         self.jobs.remove(&job);
@@ -434,6 +447,7 @@
     /// Closes a connection; its job, if it had one, is over.
     fn remove(&mut self, number: u64, counters: &mut Counters) -> Option<Job> {
         let c = self.connections.remove(&number)?;
+        self.coming -= c.input.len();
         counters.peers_closed += 1;
         if let Some(peer) = self.peers.get_mut(&c.server) {
             peer.idle.retain(|n| *n != number);
@@ -616,6 +630,26 @@
         assert!(s.peers.connections.is_empty(), "where the next answer would begin is unknown");
     }
 
+    #[test]
+    fn answers_that_have_begun_are_bounded_together() {
+        let mut s = stage();
+        s.peers.set_coming_most(1_000);
+        s.dispatch(1, b"one".to_vec());
+        let mut first = s.peer.accept().unwrap().0;
+        s.ready(0);
+        s.dispatch(2, b"two".to_vec());
+        let mut second = s.peer.accept().unwrap().0;
+        s.ready(1);
+        for (stream, number, spoilt) in [(&mut first, 0, false), (&mut second, 1, true)] {
+            stream.write_all(&[b"$60000\r\n".as_slice(), &[b'x'; 600]].concat()).unwrap();
+            s.ready(number);
+            assert_eq!(s.ends() == [JobEnd::Spoilt], spoilt);
+        }
+        assert_eq!(s.peers.coming, 608, "what was given up is let go of");
+        s.peers.abandon(Job::Probe(1), &mut s.counters);
+        assert_eq!(s.peers.coming, 0);
+    }
+
     #[test]
     fn a_break_before_the_last_byte_is_written_means_that_it_never_ran() {
         let mut s = stage();
--- a/balancer/src/resp.rs
+++ b/balancer/src/resp.rs
@@ -8,6 +8,9 @@
 
 /// The longest value, by the protocol.
 pub const VALUE_MAX: usize = 64 * 1024;
+/// The longest value taken from a peer. The protocol says 64 KiB, but some days' caches answer with up to 400 KB; what
+/// claims to be longer than this is spoilt.
+pub const ANSWER_VALUE_MAX: usize = 1024 * 1024;
 /// The longest text line: a status or an error.
 const LINE_MAX: usize = 1024;
 /// The longest number, with its sign.
@@ -24,6 +27,8 @@
 const DEPTH_MAX: usize = 3;
 /// Bytes by which the largest whole message is known to be under way and no longer.
 pub const MESSAGE_MAX: usize = 2 * VALUE_MAX;
+/// The same for an answer of a peer.
+pub const ANSWER_MAX: usize = ANSWER_VALUE_MAX + VALUE_MAX;
 
 /// Why a message can't be read, and so where the next one begins isn't known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -232,7 +237,7 @@
     if more!(reader.count()) != Some(ANSWER_MEMBERS) {
         return Err(RespError::Length);
     }
-    let value = more!(reader.member(VALUE_MAX)).ok_or(RespError::Length)?;
+    let value = more!(reader.member(ANSWER_VALUE_MAX)).ok_or(RespError::Length)?;
     let note = more!(reader.member(WORD_MAX));
     let load = match reader.member(WORD_MAX) {
         Ok(Some(load)) => Ok(load),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -27,6 +27,7 @@
 const STRIKES: f64 = 2.0; // Failures or overdue silences in a row before a server is suspected.
 const BAD_GAIN: f64 = 0.1; // Weight of a new attempt in the share of those that come to nothing.
 const CALM: f64 = 0.3; // A server that turns away more is no place for a copy or for what was turned away.
+const SLOW: f64 = 3.0; // Slower than the usual server by this factor, it is one that is failing.
 const TURNED_FADE: f64 = 0.98; // A server's share is forgotten at this pace, or one left out never came back.
 const TURNED_LEAST: f64 = 0.05; // A server's share that counts as trouble: an error in the last seconds.
 const SPREAD: f64 = 0.5; // With trouble at this part of the servers its cause is behind them all.
@@ -111,6 +112,8 @@
     suspicion_void: bool,
     /// Share of attempts, anywhere, that lately came to nothing.
     bad: f64,
+    /// The middle one of the servers' mean latencies.
+    usual: f64,
     copy_budget: f64,
     retry_budget: f64,
     fetch: Mean,
@@ -148,6 +151,7 @@
             record: Record::new(MEMORY, QUANTILE),
             suspicion_void: false,
             bad: 0.0,
+            usual: f64::MAX / SLOW,
             copy_budget: COPY_BURST / crowd,
             retry_budget: RETRY_BURST / crowd,
             fetch: Mean::default(),
@@ -861,9 +865,9 @@
             || new.patience >= self.record.t.min(self.settings.classes[new.class.0].aim)
     }
 
-    /// Whether a server turns little away.
+    /// Whether a server turns little away and is not far slower than the others.
     fn is_calm(&self, id: ServerId) -> bool {
-        self.servers.get(&id).is_some_and(|s| s.turned <= CALM)
+        self.servers.get(&id).is_some_and(|s| s.turned <= CALM && s.latency.now <= SLOW * self.usual)
     }
 
     /// Whether so many servers lately turned something away or failed it that it is not their own doing.
@@ -923,10 +927,14 @@
             if let Some(s) = self.servers.get_mut(&id).filter(|s| (s.out.len() as f64) < s.limit / 2.0) {
                 s.limit = (s.limit * LIMIT_FADE).max(least);
             }
-            self.servers.entry(id).and_modify(|s| s.turned *= TURNED_FADE);
+            self.servers.entry(id).and_modify(|s| {
+                s.turned *= TURNED_FADE;
+                s.latency.fade(if s.out.is_empty() { TURNED_FADE } else { 1.0 });
+            });
             self.suspect(id, silent as f64);
         }
         self.close_idle();
+        self.usual = middle(self.caches().map(|(_, s)| s.latency.now)).unwrap_or(f64::MAX / SLOW);
         self.ready_weight = self.caches().map(|(_, s)| self.weight(&s.entry) * self.ramp(&s.entry)).sum();
         let up = self.servers.values().filter(|s| s.entry.phase == Phase::Up);
         let suspects = up.filter(|s| s.suspect_until.is_some() || s.turned > CALM).count();
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -678,3 +678,33 @@
         assert!(steps(&mut brain, 1.0 + ORIGIN_RISE, |room| room > 0.9).is_some_and(|n| n <= back));
     }
 }
+
+#[test]
+fn a_server_far_slower_than_the_others_is_drawn_last_until_that_is_forgotten() {
+    let mut brain = brain(9);
+    let three = candidates_of_9(&mut brain);
+    let set = |brain: &mut Brain, id: ServerId, ms: f64| {
+        let s = brain.servers.get_mut(&id).expect("listed");
+        s.latency = Mean::default();
+        s.latency.add(10e6, LATENCY_GAIN, 0.0);
+        s.latency.now = ms * 1e6;
+    };
+    let picked = |brain: &mut Brain| {
+        let r = Request::new(new_read(2, 9, 1_000 * MS), 0, slot_of_9(), false);
+        match brain.pick(&r, false) {
+            Pick::To(id) => Some(id),
+            _ => None,
+        }
+    };
+    brain.known.insert(Some(Key(9)), three[0]);
+    // All alike slow is the load, not the server.
+    for (others, to_slow) in [(100.0, true), (10.0, false)] {
+        (1..=9).for_each(|id| set(&mut brain, ServerId(id), others));
+        set(&mut brain, three[0], 100.0);
+        brain.housekeeping();
+        let to = (0..100).filter(|_| picked(&mut brain) == Some(three[0])).count();
+        assert_eq!(to > 90, to_slow, "{to}");
+    }
+    (0..100).for_each(|_| brain.housekeeping());
+    assert_eq!(picked(&mut brain), Some(three[0]), "it gets its trial");
+}
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -67,6 +67,11 @@
         let first = self.samples * gain <= 1.0;
         self.base = if first { self.now } else { (self.base * (1.0 + creep)).min(self.now) };
     }
+
+    /// Forgets what it is above the unloaded mean, down to this part.
+    pub(crate) fn fade(&mut self, part: f64) {
+        self.now = self.base + (self.now - self.base) * part;
+    }
 }
 
 /// A count of happenings that decays with a time constant.
@@ -120,3 +125,10 @@
         self.pairs.iter_mut().for_each(|pairs| _ = pairs.remove(&(key, id)));
     }
 }
+
+/// The middle one of these, those at 0 (nothing known) left out.
+pub(crate) fn middle(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let mut values: Vec<f64> = values.filter(|v| *v > 0.0).collect();
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied()
+}
