--- a/src/brain.rs
+++ b/src/brain.rs
@@ -683,15 +683,15 @@
         {
             return Some(id);
         }
-        self.elsewhere(r)
+        self.elsewhere(r, false)
     }
 
     /// The first in rank, beyond the candidates too, not tried yet, that turns little away and has room.
-    fn elsewhere(&mut self, r: &Request) -> Option<ServerId> {
+    fn elsewhere(&mut self, r: &Request, last: bool) -> Option<ServerId> {
         let mut anywhere = self.ranking(r.slot);
         let tried = |id: &ServerId| r.attempts.iter().any(|a| a.server == *id);
         anywhere.retain(|id| self.legal(r, Step::Send(*id)) && self.is_calm(*id) && !tried(id));
-        anywhere.into_iter().find(|id| self.fitness(r, *id, false) == Fitness::Open)
+        anywhere.into_iter().find(|id| self.fitness(r, *id, last) == Fitness::Open)
     }
 
     fn on_begun(&mut self, r: &mut Request, number: AttemptNo) {
@@ -775,7 +775,7 @@
                 let late = r.held_since.filter(|(since, _)| me.now.saturating_sub(*since) >= patience);
                 let Some((_, reason)) = late.filter(|_| r.out() == 0 && !r.done) else { return };
                 // Refused only if no other server has room either: there it costs a fetch, here its worth.
-                match me.elsewhere(r).filter(|_| !over && me.origin_room >= DISTRESS) {
+                match me.elsewhere(r, true).filter(|_| !over && me.origin_room >= DISTRESS) {
                     Some(id) => {
                         me.held.remove(&r.new.id);
                         me.send(r, id, false);
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -490,14 +490,14 @@
 
 #[test]
 fn a_held_read_goes_beyond_the_candidates_rather_than_be_refused() {
-    for (elsewhere, sends) in [(true, 1), (false, 0)] {
+    // A limit of 2: two out leave no room to a read that spills, but the last look before a refusal is an owner's.
+    for (out_elsewhere, sends) in [(0, 1), (2, 1), (3, 0)] {
         let mut brain = brain(9);
         let three = candidates_of_9(&mut brain);
         for id in brain.servers.keys().copied().collect::<Vec<_>>() {
-            if three.contains(&id) || !elsewhere {
-                let s = brain.servers.get_mut(&id).expect("listed");
-                s.out = (0..20).map(|n| (0, RequestId(100 + n), AttemptNo(0))).collect();
-            }
+            let out = if three.contains(&id) { 20 } else { out_elsewhere };
+            let s = brain.servers.get_mut(&id).expect("listed");
+            s.out = (0..out).map(|n| (0, RequestId(100 + n), AttemptNo(0))).collect();
         }
         assert!(!read(&mut brain, 1).iter().any(|a| matches!(a, Action::Send { .. })), "held first");
         brain.now += 150 * MS;
