Write three things once: servers tried, counting with logging, and one name for each table

Cause: the last changes repeated the check whether a server was tried already (three times), counted and logged each step with its reason in three places, and had two types named Withheld. Change: Request::tried, EventLoop::explain, and counters::Steps.

--- a/balancer/src/counters.rs
+++ b/balancer/src/counters.rs
@@ -32,9 +32,9 @@
 
 /// How often each step was taken for each reason.
 #[derive(Default)]
-pub struct Withheld([[u64; Reason::ALL.len()]; Step::ALL.len()]);
+pub struct Steps([[u64; Reason::ALL.len()]; Step::ALL.len()]);
 
-impl Withheld {
+impl Steps {
     /// Counts one.
     pub fn count(&mut self, step: Step, reason: Reason) {
         self.0[step as usize][reason as usize] += 1;
@@ -42,7 +42,7 @@
 }
 
 /// Those that happened, as `refused.origin=3`.
-impl fmt::Display for Withheld {
+impl fmt::Display for Steps {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for step in Step::ALL {
             for reason in Reason::ALL {
@@ -63,14 +63,14 @@
         pub struct Counters {
             $($(#[$doc])* pub $name: u64,)*
             /// Why requests were refused, failed or held, and copies not sent.
-            pub withheld: Withheld,
+            pub steps: Steps,
         }
 
         impl fmt::Display for Counters {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
                 f.write_str("counters:")?;
                 $(write!(f, concat!(" ", stringify!($name), "={}"), self.$name)?;)*
-                write!(f, "{}", self.withheld)
+                write!(f, "{}", self.steps)
             }
         }
     };
--- a/balancer/src/event_loop.rs
+++ b/balancer/src/event_loop.rs
@@ -363,8 +363,7 @@
                 }
             }
             Action::Fail { request, why } => {
-                self.counters.withheld.count(Step::Failed, why.reason);
-                explain(request, Step::Failed, &why);
+                self.explain(request, Step::Failed, &why);
                 if let Some(answer) = self.tries.answer(request, FinalAnswer::Failed) {
                     self.answer(now, answer);
                 }
@@ -374,12 +373,10 @@
                     Withheld::Held => Step::Held,
                     Withheld::Copy => Step::NoCopy,
                 };
-                self.counters.withheld.count(step, why.reason);
-                explain(request, step, &why);
+                self.explain(request, step, &why);
             }
             Action::Refuse { request, retry_after, why } => {
-                self.counters.withheld.count(Step::Refused, why.reason);
-                explain(request, Step::Refused, &why);
+                self.explain(request, Step::Refused, &why);
                 if let Some(answer) = self.tries.answer(request, FinalAnswer::Refused { retry_after }) {
                     self.answer(now, answer);
                 }
@@ -415,6 +412,16 @@
         }
     }
 
+    /// Counts a step that the module took for a reason, and logs it with the figures that it was decided by.
+    fn explain(&mut self, request: RequestId, step: Step, why: &Why) {
+        self.counters.steps.count(step, why.reason);
+        log::debug!(
+            step = step.name(), reason = why.reason.name(), out = why.out, limit = why.limit, room = why.room,
+            base_us = why.base / 1_000, now_us = why.now / 1_000;
+            "request {}", request.0
+        );
+    }
+
     fn dispatch(&mut self, now: Nanos, outgoing: Outgoing) {
         let mut events = Vec::new();
         self.peers.dispatch(now, outgoing, &mut self.timers, &mut events, &mut self.counters);
@@ -483,15 +490,6 @@
     }
 }
 
-/// One line for each step that the module left out, with the figures that it decided by.
-fn explain(request: RequestId, step: Step, why: &Why) {
-    log::debug!(
-        step = step.name(), reason = why.reason.name(), out = why.out, limit = why.limit, room = why.room,
-        base_us = why.base / 1_000, now_us = why.now / 1_000;
-        "request {}", request.0
-    );
-}
-
 /// Empties a signal pipe: several signals may have come.
 fn drain(pipe: &Watched<UnixStream>) {
     let mut bytes = [0; 64];
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -384,8 +384,7 @@
         let step = |id| if copy { Step::Copy(id) } else { Step::Send(id) };
         let mut three: Vec<(usize, ServerId)> = self.candidates(r.slot).into_iter().enumerate().collect();
         three.retain(|(_, id)| self.legal(r, step(*id)));
-        let tried = |id: &ServerId| r.attempts.iter().any(|a| a.server == *id);
-        let untried: Vec<(usize, ServerId)> = three.iter().copied().filter(|(_, id)| !tried(id)).collect();
+        let untried: Vec<(usize, ServerId)> = three.iter().copied().filter(|(_, id)| !r.tried(*id)).collect();
         if copy || !untried.is_empty() {
             three = untried;
         }
@@ -677,7 +676,7 @@
         if self.suspicion_void {
             return None;
         }
-        let fresh = |me: &Self, id: &ServerId| me.is_calm(*id) && !r.attempts.iter().any(|a| a.server == *id);
+        let fresh = |me: &Self, id: &ServerId| me.is_calm(*id) && !r.tried(*id);
         if let Pick::To(id) = self.pick(r, false)
             && fresh(self, &id)
         {
@@ -689,8 +688,7 @@
     /// The first in rank, beyond the candidates too, not tried yet, that turns little away and has room.
     fn elsewhere(&mut self, r: &Request, last: bool) -> Option<ServerId> {
         let mut anywhere = self.ranking(r.slot);
-        let tried = |id: &ServerId| r.attempts.iter().any(|a| a.server == *id);
-        anywhere.retain(|id| self.legal(r, Step::Send(*id)) && self.is_calm(*id) && !tried(id));
+        anywhere.retain(|id| self.legal(r, Step::Send(*id)) && self.is_calm(*id) && !r.tried(*id));
         anywhere.into_iter().find(|id| self.fitness(r, *id, last) == Fitness::Open)
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -78,6 +78,10 @@
             done: false,
         }
     }
+    /// Whether an attempt went to this server already.
+    pub(crate) fn tried(&self, id: ServerId) -> bool {
+        self.attempts.iter().any(|a| a.server == id)
+    }
     /// How many attempts are out.
     pub(crate) fn out(&self) -> usize {
         self.attempts.iter().filter(|a| a.ended.is_none()).count()
