Try refused connections elsewhere beyond the retry budget; keep 60 idle connections a cache

Wrong: on_ended charged a refused connection to the retry budget, though it took no cache's time; IDLE_CONNECTIONS 20 over all balancers. Now such a retry is free, and 60 connections a cache are left open.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -67,7 +67,7 @@
 const BORNE: f64 = 0.8; // Above this share nothing is refused: a time-out or two are no evidence of overload.
 const DISTRESS: f64 = 0.6; // Under this share the origin is in distress: no copies, and no retries of errors.
 const KNOWN_FOR: Nanos = 4_000 * MS; // A key answered in this or the last such period is probably held.
-const IDLE_CONNECTIONS: usize = 20; // Left open at a server over all routers: some accept a few dozen only.
+const IDLE_CONNECTIONS: usize = 60; // Left open at a server over all routers: a handshake has its price.
 const IDLE_LEAST: Nanos = 500 * MS; // Those beyond it are closed once idle for this long.
 const HOUSEKEEPING: Nanos = 100 * MS; // Short against every deadline, long enough to cost nothing.
 const RATE_TAU: f64 = 2.0 * SEC; // Memory of request rates: under a cold window, and quick to grow back.
@@ -650,8 +650,9 @@
             // Nothing is out: another attempt, within the budget that keeps retries from feeding overload.
             let crowded = matches!(end.outcome, Outcome::Full | Outcome::Timeout);
             let calm = self.calm_place(r);
-            // A rejection took no server's time: where the next one is calm, going there feeds no overload.
-            let free = end.outcome == Outcome::Full && calm.is_some();
+            // No charge for what took no server's time: no connection, or rejected with a calm place next.
+            let free =
+                end.outcome == Outcome::ConnectFailed || end.outcome == Outcome::Full && calm.is_some();
             let no_retry = match end.outcome {
                 _ if self.now >= r.deadline => Some(Reason::Late),
                 _ if crowded && calm.is_none() && self.bad > CALM => Some(Reason::Vain),
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -587,6 +587,22 @@
     assert_eq!(picked(&mut brain), Some(three[0]));
 }
 
+#[test]
+fn a_refused_connection_is_no_charge_on_the_budget_for_retries() {
+    for (outcome, goes_on) in [(Outcome::ConnectFailed, true), (Outcome::Reset, false)] {
+        let mut brain = brain(9);
+        brain.retry_budget = 0.0;
+        read(&mut brain, 1);
+        let first = brain.requests[&RequestId(1)].attempts[0].server;
+        let actions = end(&mut brain, 1, outcome);
+        let next = actions.iter().find_map(|a| match a {
+            Action::Send { server, .. } => Some(*server),
+            _ => None,
+        });
+        assert_eq!(next.is_some_and(|id| id != first), goes_on, "{outcome:?}: {actions:?}");
+    }
+}
+
 #[test]
 fn errors_of_few_servers_are_their_own_and_those_of_many_the_origins() {
     for (servers, room) in [(1, 1.0), (4, 1.0), (5, ORIGIN_CUT)] {
@@ -609,7 +625,7 @@
 
 #[test]
 fn hundreds_of_routers_leave_few_connections_idle_and_a_few_routers_theirs() {
-    for (routers, left) in [(2, 40), (200, 4)] {
+    for (routers, left) in [(2, 40), (200, 12)] {
         let mut brain = Brain::new(Settings { routers, ..settings() }, 1, 0).expect("settings make sense");
         let entries = (0..40).map(|n| Entry { server: ServerId(n), ..Entry::default() }).collect();
         brain.on_list(ListScope::Whole, entries);
