Go beyond cold candidates that have had their due instead of waiting for them

Holding lasts half an aim, so the wait was in vain.

Wrong: pick() waited for a cold candidate as for one that is full for milliseconds. Now only other room is waited for; a cold candidate beyond its due counts as not usable, and the next in rank is taken at once. A copy stays among the candidates. The due itself is unchanged.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -405,7 +405,8 @@
         if let Some(id) = self.draw(&open, r.new.key) {
             return Pick::To(id);
         }
-        if let Some(why) = crowded {
+        // A cold one's due comes within seconds, other room within milliseconds: only that is waited for.
+        if let Some(why) = crowded.filter(|why| *why != Reason::Cold) {
             return Pick::Wait(why);
         } else if copy {
             return Pick::Nowhere;
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -603,6 +603,31 @@
     }
 }
 
+#[test]
+fn a_read_whose_candidates_are_cold_and_have_had_their_due_goes_beyond_them_at_once() {
+    let mut brain = brain(9);
+    brain.now = 1_000 * MS;
+    let three = candidates_of_9(&mut brain);
+    for id in &three {
+        let s = brain.servers.get_mut(id).expect("listed");
+        (s.entry.started, s.cold_budget, s.cold_budget_at) = (999 * MS, 0.0, 1_000 * MS);
+    }
+    let actions = read(&mut brain, 1);
+    let sent = actions.iter().find_map(|a| match a {
+        Action::Send { server, .. } => Some(*server),
+        _ => None,
+    });
+    assert!(sent.is_some_and(|id| !three.contains(&id)), "{actions:?}");
+    // A copy stays among the candidates: there is none, and none is asked for again while a due is waited for.
+    brain.copy_budget = 1.0;
+    brain.with(RequestId(1), |me, r| me.on_late(r));
+    assert!(
+        matches!(brain.actions[..], [Action::Note { withheld: Withheld::Copy, .. }]),
+        "{:?}",
+        brain.actions
+    );
+}
+
 #[test]
 fn errors_of_few_servers_are_their_own_and_those_of_many_the_origins() {
     for (servers, room) in [(1, 1.0), (4, 1.0), (5, ORIGIN_CUT)] {
