--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,6 +24,7 @@
 const COPY_BURST: f64 = 6.0; // ... beyond a burst that covers finding out that a server or two went silent.
 const RETRY_SHARE: f64 = 0.2; // Retries per first send, so that failures do not feed on themselves ...
 const RETRY_BURST: f64 = 8.0; // ... beyond a burst that covers a crash.
+const BURST_LEAST: f64 = 3.0; // Of both at each of many routers: failures come a few at a time.
 const STRIKES: f64 = 2.0; // Failures or overdue silences in a row before a server is suspected.
 const BAD_GAIN: f64 = 0.1; // Weight of a new attempt in the share of those that come to nothing.
 const CALM: f64 = 0.3; // A server that turns away more is no place for a copy or for what was turned away.
@@ -249,10 +250,6 @@
         matches!(self.settings.origin, Origin::Aside { kind } if kind == entry.kind)
     }
 
-    fn caches(&self) -> impl Iterator<Item = (&ServerId, &Server)> {
-        self.servers.iter().filter(|(_, s)| s.entry.phase == Phase::Up && !self.is_origin(&s.entry))
-    }
-
     /// The slot's servers in rank order: by a hash of slot and server id, stretched by the stated weight so
     /// that a server's share of slots follows its size. The list alone decides, never health.
     fn ranking(&self, slot: usize) -> Vec<ServerId> {
@@ -441,8 +438,9 @@
             let mine = self.settings.tenants[t].allowance_per_s / self.settings.routers.max(1) as f64;
             over_share = self.tenants[t].per_s(self.now) > mine;
         }
-        self.copy_budget = (self.copy_budget + COPY_SHARE).min((COPY_BURST / self.crowd).max(1.0));
-        self.retry_budget = (self.retry_budget + RETRY_SHARE).min((RETRY_BURST / self.crowd).max(1.0));
+        self.copy_budget = (self.copy_budget + COPY_SHARE).min((COPY_BURST / self.crowd).max(BURST_LEAST));
+        self.retry_budget =
+            (self.retry_budget + RETRY_SHARE).min((RETRY_BURST / self.crowd).max(BURST_LEAST));
         let slot = match new.key {
             Some(Key(k)) => xxh3_64_with_seed(&k.to_le_bytes(), 0) as usize % SLOTS,
             None => self.random_below(SLOTS as u64) as usize,
@@ -788,10 +786,6 @@
 
     // ---- health ----
 
-    fn size(&self, id: ServerId) -> f64 {
-        self.servers.get(&id).map_or(1.0, |s| self.weight(&s.entry) / self.mean_weight.max(0.01))
-    }
-
     /// Other routers are taken to send likewise, so each starts with its part of what a server can hold.
     fn start_limit(&self, size: f64) -> f64 {
         (LIMIT_START / self.settings.routers as f64 * size).max(LIMIT_MIN)
--- a/src/brain/plumbing.rs
+++ b/src/brain/plumbing.rs
@@ -1,8 +1,8 @@
-//! What the decisions are written with: the table of open requests, timers and random numbers. Nothing is decided here.
+//! What the decisions are written with: the tables of open requests and caches, timers and random numbers. Nothing is decided here.
 
 use super::Brain;
 use crate::api::*;
-use crate::state::{Request, Timer};
+use crate::state::{Request, Server, Timer};
 use rand_core::RngCore;
 
 impl Brain {
@@ -24,4 +24,14 @@
     pub(super) fn random_below(&mut self, n: u64) -> u64 {
         if n == 0 { 0 } else { self.rng.next_u64() % n }
     }
+
+    /// The caches that take requests.
+    pub(super) fn caches(&self) -> impl Iterator<Item = (&ServerId, &Server)> {
+        self.servers.iter().filter(|(_, s)| s.entry.phase == Phase::Up && !self.is_origin(&s.entry))
+    }
+
+    /// A server's size over the mean one's.
+    pub(super) fn size(&self, id: ServerId) -> f64 {
+        self.servers.get(&id).map_or(1.0, |s| self.weight(&s.entry) / self.mean_weight.max(0.01))
+    }
 }
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -628,6 +628,21 @@
     );
 }
 
+#[test]
+fn a_few_failures_at_once_can_be_retried_and_copied_at_one_of_many_routers_and_no_flood() {
+    for (routers, saved) in [(4, (COPY_BURST / 2.0, RETRY_BURST / 2.0)), (100, (3.0, 3.0))] {
+        let mut brain = Brain::new(Settings { routers, ..settings() }, 1, 0).expect("settings make sense");
+        brain.on_list(
+            ListScope::Whole,
+            (1..=9).map(|n| Entry { server: ServerId(n), ..Entry::default() }).collect(),
+        );
+        for id in 1..=100 {
+            read(&mut brain, id);
+        }
+        assert_eq!((brain.copy_budget, brain.retry_budget), saved, "{routers} routers");
+    }
+}
+
 #[test]
 fn errors_of_few_servers_are_their_own_and_those_of_many_the_origins() {
     for (servers, room) in [(1, 1.0), (4, 1.0), (5, ORIGIN_CUT)] {
