--- a/src/brain.rs
+++ b/src/brain.rs
@@ -402,7 +402,7 @@
         if let Some(id) = self.draw(&open, r.new.key) {
             return Pick::To(id);
         }
-        // A cold one's due comes within seconds, other room within milliseconds: only that is waited for.
+        // Room comes within milliseconds, a cold one's due within seconds: if the first lacks that, go on.
         if let Some(why) = crowded.filter(|why| *why != Reason::Cold) {
             return Pick::Wait(why);
         } else if copy {
@@ -438,9 +438,9 @@
             let mine = self.settings.tenants[t].allowance_per_s / self.settings.routers.max(1) as f64;
             over_share = self.tenants[t].per_s(self.now) > mine;
         }
-        self.copy_budget = (self.copy_budget + COPY_SHARE).min((COPY_BURST / self.crowd).max(BURST_LEAST));
-        self.retry_budget =
-            (self.retry_budget + RETRY_SHARE).min((RETRY_BURST / self.crowd).max(BURST_LEAST));
+        let most = |burst: f64| (burst / self.crowd).max(BURST_LEAST);
+        self.copy_budget = (self.copy_budget + COPY_SHARE).min(most(COPY_BURST));
+        self.retry_budget = (self.retry_budget + RETRY_SHARE).min(most(RETRY_BURST));
         let slot = match new.key {
             Some(Key(k)) => xxh3_64_with_seed(&k.to_le_bytes(), 0) as usize % SLOTS,
             None => self.random_below(SLOTS as u64) as usize,
--- a/src/brain/plumbing.rs
+++ b/src/brain/plumbing.rs
@@ -1,4 +1,5 @@
-//! What the decisions are written with: the tables of open requests and caches, timers and random numbers. Nothing is decided here.
+//! What the decisions are written with: the tables of open requests and caches, timers and random numbers.
+//! Nothing is decided here.
 
 use super::Brain;
 use crate::api::*;
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -85,6 +85,14 @@
     actions
 }
 
+/// Where the first attempt that these send goes.
+fn sent_to(actions: &[Action]) -> Option<ServerId> {
+    actions.iter().find_map(|a| match a {
+        Action::Send { server, .. } => Some(*server),
+        _ => None,
+    })
+}
+
 #[test]
 fn the_record_tells_the_99th_percentile() {
     let mut record = Record::new(MEMORY, QUANTILE);
@@ -570,10 +578,7 @@
     }
     brain.retry_budget = 0.0;
     read(&mut brain, 1);
-    let sent = end(&mut brain, 1, Outcome::Full).into_iter().find_map(|a| match a {
-        Action::Send { server, .. } => Some(server),
-        _ => None,
-    });
+    let sent = sent_to(&end(&mut brain, 1, Outcome::Full));
     assert!(sent.is_some_and(|id| !three.contains(&id)), "{sent:?}");
     // With one calm candidate reads go there in the first place, and back to the others as that is long ago.
     brain.servers.get_mut(&three[2]).expect("listed").turned = 0.0;
@@ -595,10 +600,7 @@
         read(&mut brain, 1);
         let first = brain.requests[&RequestId(1)].attempts[0].server;
         let actions = end(&mut brain, 1, outcome);
-        let next = actions.iter().find_map(|a| match a {
-            Action::Send { server, .. } => Some(*server),
-            _ => None,
-        });
+        let next = sent_to(&actions);
         assert_eq!(next.is_some_and(|id| id != first), goes_on, "{outcome:?}: {actions:?}");
     }
 }
@@ -613,10 +615,7 @@
         (s.entry.started, s.cold_budget, s.cold_budget_at) = (999 * MS, 0.0, 1_000 * MS);
     }
     let actions = read(&mut brain, 1);
-    let sent = actions.iter().find_map(|a| match a {
-        Action::Send { server, .. } => Some(*server),
-        _ => None,
-    });
+    let sent = sent_to(&actions);
     assert!(sent.is_some_and(|id| !three.contains(&id)), "{actions:?}");
     // A copy stays among the candidates: there is none, and none is asked for again while a due is waited for.
     brain.copy_budget = 1.0;
