Drain by the operators' call: a life cycle without I/O and a door of its own

There was no door to be called at.

life_cycle.rs decides from events and times whether PING and health say yes, whether clients are taken, kept and heard; it takes the place of EventLoop.stopping, EventLoop.ready and RespFront.{ready,stopping}. front/management.rs reads calls, looked at before all else in a turn.

--- a/balancer/src/config.rs
+++ b/balancer/src/config.rs
@@ -22,6 +22,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where the operators call, if anywhere.
+    pub management: Option<SocketAddr>,
     /// Where discovery is.
     pub discovery: SocketAddr,
     /// What the file says of that, whether or not the environment goes before it.
@@ -65,6 +67,7 @@
 struct File {
     name: Option<String>,
     listen: Option<String>,
+    management: Option<String>,
     discovery: Option<String>,
     #[serde(default)]
     seed: Value,
@@ -82,7 +85,8 @@
 }
 
 impl Config {
-    /// Reads `GW_CONFIG` and the file it names; `GW_NAME`, `GW_LISTEN` and `GW_DISCOVERY` go before the file.
+    /// Reads `GW_CONFIG` and the file it names; `GW_NAME`, `GW_LISTEN`, `GW_MANAGEMENT` and
+    /// `GW_DISCOVERY` go before the file.
     pub fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
         let path = variable("GW_CONFIG").ok_or_else(|| wrong("GW_CONFIG", "is not set"))?;
         let text = std::fs::read_to_string(&path).map_err(|e| wrong("GW_CONFIG", format!("{path}: {e}")))?;
@@ -113,6 +117,7 @@
         let keys = [
             ("name", self.name != former.name),
             ("listen", self.listen != former.listen),
+            ("management", self.management != former.management),
             ("seed", self.seed != former.seed),
             ("settings", settings),
         ];
@@ -133,6 +138,23 @@
             };
             parse_address(key, &text)
         };
+        let listen = address("GW_LISTEN", "listen", file.listen)?;
+        let management = match (variable("GW_MANAGEMENT"), file.management) {
+            (Some(text), _) => Some(("GW_MANAGEMENT", text)),
+            (None, in_file) => in_file.map(|text| ("management", text)),
+        };
+        let management = match management {
+            Some((key, text)) => match parse_address(key, &text)? {
+                same if same == listen && same.port() != 0 => {
+                    return Err(wrong(
+                        key,
+                        format!("\"{text}\" is where clients connect; it must be another address"),
+                    ));
+                }
+                address => Some(address),
+            },
+            None => None,
+        };
         let (settings, names, transport) = file.settings.translate().map_err(|e| wrong("settings", e))?;
         settings.check().map_err(|e| wrong(&format!("settings.{}", key_of(&e)), e.problem))?;
         let figure = |key: &str, value: Option<f64>, default: usize, least: usize| match value {
@@ -142,7 +164,8 @@
         };
         Ok(Config {
             name: variable("GW_NAME").or(file.name).unwrap_or_else(|| "balancer".into()),
-            listen: address("GW_LISTEN", "listen", file.listen)?,
+            listen,
+            management,
             discovery: address("GW_DISCOVERY", "discovery", file.discovery.clone())?,
             discovery_in_file: file.discovery,
             seed: seed(&file.seed),
@@ -212,6 +235,12 @@
         let cases = [
             ("\"listen\":\"127.0.0.1:6379\",", "", "listen: is missing, and GW_LISTEN is not set"),
             ("127.0.0.2:8500", "there", "discovery: \"there\" is no address with a port"),
+            ("\"seed\"", "\"management\":\"x:1\",\"seed\"", "management: \"x:1\" is no address with a port"),
+            (
+                "\"seed\"",
+                "\"management\":\"127.0.0.1:6379\",\"seed\"",
+                "management: \"127.0.0.1:6379\" is where clients connect; it must be another address",
+            ),
             ("\"sockets\":512", "\"sockets\":5", "limits.sockets: 5 is too little, 64 is the least"),
             ("\"give_up_ns\":1000", "\"give_up_ns\":0", "settings.profiles[0].give_up_ns: must be over 0"),
             ("\"max_attempts\":3", "\"max_attempts\":0", "settings.caps.max_attempts: must be over 0"),
--- a/balancer/src/counters.rs
+++ b/balancer/src/counters.rs
@@ -145,6 +145,14 @@
     list_calls,
     /// Calls of discovery that failed or ended.
     list_failed,
+    /// Calls of the operators.
+    calls,
+    /// Calls that were none: no HTTP, an unknown path, a wrong method, too long.
+    calls_wrong,
+    /// Callers that sent no whole call in time.
+    calls_unfinished,
+    /// Unfinished callers closed for newcomers.
+    calls_pushed_out,
     /// Configurations read again and taken over.
     reloads,
     /// Configurations read again and found faulty; the old one stayed.
--- a/balancer/src/event_loop.rs
+++ b/balancer/src/event_loop.rs
@@ -3,7 +3,9 @@
 use crate::config::Config;
 use crate::counters::{Counters, Step};
 use crate::decide::{Decide, phase, server_id};
+use crate::front::management::{Asked, CALLERS_MAX, Call, Management};
 use crate::front::resp::{FrontEvent, RespFront};
+use crate::life_cycle::LifeCycle;
 use crate::peers::{Job, JobEnd, Outgoing, PeerEvent, Peers};
 use crate::poll::{Poll, Ready, Source, Watched};
 use crate::request::{FinalAnswer, Incoming};
@@ -28,8 +30,6 @@
 const SWEEP: Nanos = 50 * MS;
 /// A probe is given up after this.
 const PROBE_TIMEOUT: Nanos = 500 * MS;
-/// How long new connections are taken after a request to stop: they keep coming for up to 0.4 s.
-const ACCEPT_ON: Nanos = 700 * MS;
 
 /// The balancer at work.
 pub struct EventLoop {
@@ -51,15 +51,16 @@
     news: Vec<Event>,
     memory: usize,
     max_open: usize,
-    /// A request to stop came, and whether new connections have ended since.
-    stopping: Option<bool>,
-    ready: bool,
+    life: LifeCycle,
+    management: Option<Management>,
 }
 
-/// How many descriptors peers and clients get.
-fn split_sockets(sockets: usize) -> (usize, usize) {
-    let for_peers = (sockets - SOCKETS_KEPT) / PEERS_PART;
-    (for_peers, sockets - SOCKETS_KEPT - for_peers)
+/// How many descriptors peers and clients get, after the door for operators if there is one.
+fn split_sockets(sockets: usize, management: bool) -> (usize, usize) {
+    // The listener and the callers.
+    let kept = SOCKETS_KEPT + if management { 1 + CALLERS_MAX } else { 0 };
+    let for_peers = (sockets - kept) / PEERS_PART;
+    (for_peers, sockets - kept - for_peers)
 }
 
 /// A pipe that becomes readable with each of these signals.
@@ -82,16 +83,20 @@
         let clock = Clock::start();
         let now = clock.now();
         let poll = what(Poll::new(), "poller")?;
-        let (for_peers, for_clients) = split_sockets(config.sockets);
+        let (for_peers, for_clients) = split_sockets(config.sockets, config.management.is_some());
         let brain = Brain::new(config.settings.clone(), config.seed, now).map_err(|e| e.to_string())?;
         let transport = config.transport;
         let known = config.known.take();
+        let life = LifeCycle::new();
+        let management = |address| {
+            what(Management::listen(&poll, address), &format!("listening for management on {address}"))
+        };
         let mut me = EventLoop {
             stop: what(signals(&poll, &[SIGTERM, SIGINT], Source::Stop), "signals")?,
             report: what(signals(&poll, &[SIGUSR1], Source::Report), "signals")?,
             reload: what(signals(&poll, &[SIGHUP], Source::Reload), "signals")?,
             front: what(
-                RespFront::listen(&poll, config.listen, for_clients),
+                RespFront::listen(&poll, config.listen, for_clients, life.stance(now)),
                 &format!("listening on {}", config.listen),
             )?,
             group: UpstreamGroup::new(&poll, config.discovery, known.as_ref().map(|list| list.seq)),
@@ -103,8 +108,8 @@
             news: Vec::new(),
             memory: config.memory / MEMORY_PART,
             max_open: transport.max_open,
-            stopping: None,
-            ready: false,
+            management: config.management.map(management).transpose()?,
+            life,
             clock,
             poll,
             config,
@@ -133,7 +138,7 @@
 
     /// After a request to stop: no new clients, all that was taken is answered, and every answer is out.
     fn is_over(&self) -> bool {
-        self.stopping == Some(true) && self.front.is_empty()
+        self.life.is_over(self.clock.now(), !self.front.is_empty())
     }
 
     /// Tells the module what happened and does what it says, until nothing is left to tell.
@@ -152,8 +157,13 @@
         let now = self.clock.now();
         self.peers.next_turn();
         let mut clients = Vec::new();
+        // The operators' calls go first: whatever the load, an answer waits for one turn at most.
+        for one in ready.iter().filter(|one| matches!(one.source, Source::Management | Source::Caller(_))) {
+            self.management(now, *one);
+        }
         for one in ready.drain(..) {
             match one.source {
+                Source::Management | Source::Caller(_) => {}
                 Source::Peer(_) => {
                     let mut events = Vec::new();
                     self.peers.ready(now, one, &mut self.timers, &mut events, &mut self.counters);
@@ -219,15 +229,13 @@
                 let mut events = Vec::new();
                 self.front.sweep(now, &mut events, &mut self.counters);
                 self.peers.sweep(now, &mut self.counters);
+                if let Some(management) = &mut self.management {
+                    management.sweep(now, &mut self.counters);
+                }
                 self.front_events(now, events);
                 self.timers.set(now + SWEEP, Due::Sweep);
             }
-            Due::StopAccepting => {
-                let mut events = Vec::new();
-                self.front.stop_accepting(now, &mut events, &mut self.counters);
-                self.front_events(now, events);
-                self.stopping = Some(true);
-            }
+            Due::LifeCycle => self.follow(now),
         }
     }
 
@@ -343,9 +351,46 @@
         }
         self.news.push(self.decide.list(&list, stale));
         self.peer_events(now, events);
-        if !self.ready && !list.hosts.is_empty() {
-            self.ready = true;
-            self.front.set_ready();
+        if !list.hosts.is_empty() && self.life.listed() {
+            self.follow(now);
+        }
+    }
+
+    /// Has the clients' door do what follows from the life cycle now.
+    fn follow(&mut self, now: Nanos) {
+        let mut events = Vec::new();
+        self.front.follow(self.life.stance(now), now, &mut events, &mut self.counters);
+        self.front_events(now, events);
+        if let Some(due) = self.life.due(now) {
+            self.timers.set(due, Due::LifeCycle);
+        }
+    }
+
+    /// The operators' door.
+    fn management(&mut self, now: Nanos, ready: Ready) {
+        let Some(management) = &mut self.management else { return };
+        if ready.source == Source::Management {
+            return management.accept(now, &mut self.counters);
+        }
+        let Some(Asked { caller, call }) = management.ready(ready, &mut self.counters) else { return };
+        let former = self.life.name();
+        let done = match call {
+            Call::Health => Ok(()),
+            Call::Quiesce => {
+                self.life.quiesce(now);
+                Ok(())
+            }
+            Call::Resume => self.life.resume(),
+        };
+        let status = match (call, done) {
+            (_, Err(_)) => 409,
+            (Call::Health, _) if !self.life.is_ready() => 503,
+            _ => 200,
+        };
+        management.answer(caller, status, self.life.name());
+        if self.life.name() != former {
+            log::info!("operators: {call:?}: {former}, now {}", self.life.name());
+            self.follow(now);
         }
     }
 
@@ -443,15 +488,10 @@
 
     fn stop(&mut self, now: Nanos) {
         drain(&self.stop);
-        if self.stopping.is_some() {
-            return;
+        if self.life.stop(now) {
+            log::info!("asked to stop: answering what was taken");
+            self.follow(now);
         }
-        log::info!("asked to stop: answering what was taken");
-        self.stopping = Some(false);
-        self.timers.set(now + ACCEPT_ON, Due::StopAccepting);
-        let mut events = Vec::new();
-        self.front.stop(now, &mut events, &mut self.counters);
-        self.front_events(now, events);
     }
 
     /// Reads the configuration again and takes over what applies live. Client connections, the list and all tries
@@ -474,7 +514,7 @@
             log::warn!("changed, but heeded at the next start only: {}", later.join(", "));
         }
         self.memory = new.memory / MEMORY_PART;
-        let (for_peers, for_clients) = split_sockets(new.sockets);
+        let (for_peers, for_clients) = split_sockets(new.sockets, self.management.is_some());
         self.peers.set_most(for_peers);
         self.peers.set_coming_most(self.memory / 2);
         self.front.set_most(for_clients);
--- /dev/null
+++ b/balancer/src/front/management.rs
@@ -0,0 +1,348 @@
+//! The operators' door: HTTP/1.1, one call to a connection. What a call means is the life cycle's; this reads calls and
+//! writes answers, and lets nobody who says nothing keep others waiting.
+
+use crate::counters::Counters;
+use crate::poll::{Poll, Ready, Source, Watched};
+use crate::timers::MS;
+use finchyard::Nanos;
+use std::collections::BTreeMap;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+
+/// Callers that are held at once; one more closes the one that is unfinished longest.
+pub const CALLERS_MAX: usize = 12;
+/// At most this many are taken in one turn of the loop.
+const ACCEPT_MAX: usize = 64;
+/// The longest head of a call.
+const HEAD_MAX: usize = 8 * 1024;
+/// The most headers of a call.
+const HEADERS_MAX: usize = 64;
+/// A call must be whole this long after its connection came.
+const UNFINISHED: Nanos = 2_000 * MS;
+/// Of what comes behind a call this much is read, so that closing doesn't reset the answer away.
+const DISCARD_MAX: usize = 64 * 1024;
+
+/// What the operators ask for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Whether this process is ready to serve.
+    Health,
+    /// Drain.
+    Quiesce,
+    /// Back to work.
+    Resume,
+}
+
+/// A call that waits for its answer, by its connection.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Asked {
+    /// Which connection.
+    pub caller: u64,
+    /// What is asked.
+    pub call: Call,
+}
+
+struct Caller {
+    stream: Watched<TcpStream>,
+    since: Nanos,
+    input: Vec<u8>,
+    /// The answer, and how much of it is written; empty until there is one.
+    output: Vec<u8>,
+    written: usize,
+    /// The answer is out and the sending side is shut.
+    answered: bool,
+}
+
+/// The door and the callers at it.
+pub struct Management {
+    poll: Poll,
+    listener: Watched<TcpListener>,
+    callers: BTreeMap<u64, Caller>,
+    next_caller: u64,
+}
+
+/// What a head turns out to be.
+#[derive(Debug, PartialEq, Eq)]
+enum Head {
+    More,
+    Call(Call),
+    /// A status, and the methods that are allowed where the method is what is wrong.
+    Wrong(u16, &'static str),
+}
+
+fn read_head(input: &[u8]) -> Head {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+    let mut request = httparse::Request::new(&mut headers);
+    match request.parse(input) {
+        Ok(httparse::Status::Complete(length)) if length > HEAD_MAX => return Head::Wrong(431, ""),
+        Ok(httparse::Status::Complete(_)) => {}
+        Ok(httparse::Status::Partial) if input.len() < HEAD_MAX => return Head::More,
+        Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => return Head::Wrong(431, ""),
+        Err(_) => return Head::Wrong(400, ""),
+    }
+    let path = request.path.unwrap_or_default();
+    let (call, method) = match path.split_once('?').map_or(path, |(path, _)| path) {
+        "/admin/health" => (Call::Health, "GET"),
+        "/admin/quiesce" => (Call::Quiesce, "POST"),
+        "/admin/resume" => (Call::Resume, "POST"),
+        _ => return Head::Wrong(404, ""),
+    };
+    if request.method == Some(method) { Head::Call(call) } else { Head::Wrong(405, method) }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        431 => "Request Header Fields Too Large",
+        _ => "Service Unavailable",
+    }
+}
+
+impl Management {
+    /// Listens for calls.
+    pub fn listen(poll: &Poll, address: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        log::info!("management listens on {}", listener.local_addr()?);
+        listener.set_nonblocking(true)?;
+        let listener = poll.watch(listener, Source::Management, true, false)?;
+        Ok(Management { poll: poll.clone(), listener, callers: BTreeMap::new(), next_caller: 0 })
+    }
+
+    /// Takes the callers that wait.
+    pub fn accept(&mut self, now: Nanos, counters: &mut Counters) {
+        for _ in 0..ACCEPT_MAX {
+            let stream = match self.listener.socket().accept() {
+                Ok((stream, _)) => stream,
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {
+                    continue;
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) => return log::warn!("accepting management calls: {e}"),
+            };
+            if self.callers.len() >= CALLERS_MAX {
+                let oldest = self.callers.iter().min_by_key(|(n, c)| (c.output.is_empty(), c.since, **n));
+                let unfinished = self.callers.iter().find(|(_, c)| c.output.is_empty()).or(oldest);
+                if let Some(number) = unfinished.map(|(n, _)| *n) {
+                    counters.calls_pushed_out += 1;
+                    self.callers.remove(&number);
+                }
+            }
+            let number = self.next_caller;
+            let watched = stream
+                .set_nonblocking(true)
+                .and_then(|()| self.poll.watch(stream, Source::Caller(number), true, false));
+            match watched {
+                Ok(stream) => {
+                    self.next_caller += 1;
+                    let (input, output) = (Vec::new(), Vec::new());
+                    let caller = Caller { stream, since: now, input, output, written: 0, answered: false };
+                    self.callers.insert(number, caller);
+                }
+                Err(e) => log::warn!("management call: {e}"),
+            }
+        }
+    }
+
+    /// Reads and writes what a caller is ready for. Tells of a call that waits for its answer.
+    pub fn ready(&mut self, ready: Ready, counters: &mut Counters) -> Option<Asked> {
+        let Source::Caller(number) = ready.source else { return None };
+        let c = self.callers.get_mut(&number)?;
+        if !c.output.is_empty() {
+            if ready.readable && !c.discard() {
+                self.callers.remove(&number);
+                return None;
+            }
+            self.write(number);
+            return None;
+        }
+        let held = c.input.len();
+        c.input.resize(HEAD_MAX, 0);
+        let got = c.stream.socket().read(&mut c.input[held..]);
+        c.input.truncate(held + *got.as_ref().unwrap_or(&0));
+        match got {
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => return None,
+            Ok(n) if n > 0 => {}
+            _ => {
+                self.callers.remove(&number);
+                return None;
+            }
+        }
+        match read_head(&c.input) {
+            Head::More => None,
+            Head::Call(call) => {
+                counters.calls += 1;
+                Some(Asked { caller: number, call })
+            }
+            Head::Wrong(status, allow) => {
+                counters.calls_wrong += 1;
+                self.put(number, status, reason(status), allow);
+                None
+            }
+        }
+    }
+
+    /// Answers a call, with the state that the process is in.
+    pub fn answer(&mut self, caller: u64, status: u16, state: &str) {
+        self.put(caller, status, state, "");
+    }
+
+    fn put(&mut self, number: u64, status: u16, state: &str, allow: &str) {
+        let Some(c) = self.callers.get_mut(&number) else { return };
+        let body = format!("{{\"state\":\"{state}\"}}\n");
+        let allow = if allow.is_empty() { String::new() } else { format!("Allow: {allow}\r\n") };
+        c.output = format!(
+            "HTTP/1.1 {status} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\nCache-Control: no-store\r\n\
+             {allow}Connection: close\r\n\r\n{body}",
+            reason(status),
+            body.len()
+        )
+        .into_bytes();
+        self.write(number);
+    }
+
+    fn write(&mut self, number: u64) {
+        let Some(c) = self.callers.get_mut(&number) else { return };
+        while c.written < c.output.len() {
+            match c.stream.socket().write(&c.output[c.written..]) {
+                Ok(n) if n > 0 => c.written += n,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                _ => return drop(self.callers.remove(&number)),
+            }
+        }
+        let unsent = c.written < c.output.len();
+        if !unsent && !c.answered {
+            // The caller ends the connection: closing over what it still sends would reset the answer away.
+            c.answered = true;
+            if c.stream.socket().shutdown(std::net::Shutdown::Write).is_err() || !c.discard() {
+                return drop(self.callers.remove(&number));
+            }
+        }
+        if c.stream.interest(true, unsent).is_err() {
+            self.callers.remove(&number);
+        }
+    }
+
+    /// Ends calls that don't become whole, and answered ones whose callers stay.
+    pub fn sweep(&mut self, now: Nanos, counters: &mut Counters) {
+        let late = |c: &Caller| now.saturating_sub(c.since) >= UNFINISHED;
+        let late: Vec<u64> = self.callers.iter().filter(|(_, c)| late(c)).map(|(n, _)| *n).collect();
+        for number in late {
+            if self.callers.get(&number).is_some_and(|c| c.output.is_empty()) {
+                counters.calls_unfinished += 1;
+                self.put(number, 408, reason(408), "");
+            }
+            self.callers.remove(&number);
+        }
+    }
+}
+
+impl Caller {
+    /// Takes what comes behind a call; false once the caller has ended or sends without end.
+    fn discard(&mut self) -> bool {
+        let mut bytes = [0; 4096];
+        for _ in 0..DISCARD_MAX / bytes.len() {
+            match self.stream.socket().read(&mut bytes) {
+                Ok(n) if n > 0 => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return true,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                _ => return false,
+            }
+        }
+        false
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn door() -> (Management, impl Fn() -> TcpStream) {
+        let door = Management::listen(&Poll::new().unwrap(), "127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = door.listener.socket().local_addr().unwrap();
+        (door, move || TcpStream::connect(address).unwrap())
+    }
+
+    fn readable(number: u64) -> Ready {
+        Ready { source: Source::Caller(number), readable: true, writable: false }
+    }
+
+    #[test]
+    fn a_head_is_told_by_path_then_method_once_it_is_whole() {
+        let whole = b"POST /admin/quiesce?why=x HTTP/1.1\r\nHost: a\r\n\r\n";
+        for cut in 0..whole.len() {
+            assert_eq!(read_head(&whole[..cut]), Head::More, "after {cut} bytes");
+        }
+        assert_eq!(read_head(whole), Head::Call(Call::Quiesce));
+        let long = format!("GET /admin/health HTTP/1.1\r\nA: {}\r\n\r\n", "x".repeat(HEAD_MAX));
+        let many = format!("GET /admin/health HTTP/1.1\r\n{}\r\n", "A: b\r\n".repeat(HEADERS_MAX + 1));
+        let cases = [
+            ("GET /admin/health HTTP/1.1\r\n\r\n", Head::Call(Call::Health)),
+            ("POST /admin/resume HTTP/1.0\r\nContent-Length: 2\r\n\r\n{}", Head::Call(Call::Resume)),
+            ("GET /admin/resume HTTP/1.1\r\n\r\n", Head::Wrong(405, "POST")),
+            ("POST /admin/health HTTP/1.1\r\n\r\n", Head::Wrong(405, "GET")),
+            ("GET /admin/ HTTP/1.1\r\n\r\n", Head::Wrong(404, "")),
+            ("*1\r\n$4\r\nPING\r\n", Head::Wrong(400, "")),
+            (&long, Head::Wrong(431, "")),
+            (&many, Head::Wrong(431, "")),
+        ];
+        for (text, head) in cases {
+            assert_eq!(read_head(text.as_bytes()), head, "{}", &text[..30.min(text.len())]);
+        }
+    }
+
+    #[test]
+    fn silent_callers_hold_nobody_up_and_end_in_time() {
+        let (mut door, connect) = door();
+        let mut counters = Counters::default();
+        let mut silent: Vec<TcpStream> = (0..CALLERS_MAX).map(|_| connect()).collect();
+        door.accept(0, &mut counters);
+        assert_eq!(door.callers.len(), CALLERS_MAX);
+        let mut caller = connect();
+        caller.write_all(b"GET /admin/health HTTP/1.1\r\n\r\n").unwrap();
+        door.accept(1, &mut counters);
+        assert_eq!((door.callers.len(), counters.calls_pushed_out), (CALLERS_MAX, 1));
+        assert_eq!(silent[0].read(&mut [0]).unwrap(), 0, "the one that came first");
+        let number = CALLERS_MAX as u64;
+        assert_eq!(
+            door.ready(readable(number), &mut counters),
+            Some(Asked { caller: number, call: Call::Health })
+        );
+        door.answer(number, 200, "serving");
+        let mut text = String::new();
+        caller.read_to_string(&mut text).unwrap();
+        assert!(
+            text.starts_with("HTTP/1.1 200 OK\r\n") && text.ends_with("\r\n\r\n{\"state\":\"serving\"}\n"),
+            "{text}"
+        );
+        drop(caller);
+        assert_eq!(door.ready(readable(number), &mut counters), None);
+        assert_eq!(door.callers.len(), CALLERS_MAX - 1, "a caller that has gone is let go of");
+        door.sweep(UNFINISHED - 1, &mut counters);
+        assert_eq!(door.callers.len(), CALLERS_MAX - 1);
+        door.sweep(UNFINISHED, &mut counters);
+        assert!(door.callers.is_empty());
+        text.clear();
+        silent[1].read_to_string(&mut text).unwrap();
+        assert!(text.starts_with("HTTP/1.1 408 "), "{text}");
+    }
+
+    #[test]
+    fn an_answer_arrives_though_the_caller_sends_more_than_a_call() {
+        let (mut door, connect) = door();
+        let mut counters = Counters::default();
+        let mut caller = connect();
+        caller.write_all(&[b"GET /nowhere HTTP/1.1\r\n\r\n".as_slice(), &[b'x'; 20_000]].concat()).unwrap();
+        door.accept(0, &mut counters);
+        assert_eq!(door.ready(readable(0), &mut counters), None);
+        let mut text = String::new();
+        caller.read_to_string(&mut text).unwrap();
+        assert!(text.starts_with("HTTP/1.1 404 Not Found\r\n"), "{text}");
+        assert_eq!(counters.calls_wrong, 1);
+    }
+}
--- a/balancer/src/front/mod.rs
+++ b/balancer/src/front/mod.rs
@@ -1,3 +1,4 @@
-//! Fronts: each speaks one protocol with clients and hands [`Incoming`](crate::request::Incoming) requests in.
+//! The doors: RESP for clients, HTTP for the operators' calls.
 
+pub mod management;
 pub mod resp;
--- a/balancer/src/front/resp.rs
+++ b/balancer/src/front/resp.rs
@@ -1,6 +1,7 @@
 //! The RESP front: client connections, commands in, answers out in the order of the commands.
 
 use crate::counters::Counters;
+use crate::life_cycle::Stance;
 use crate::poll::{Poll, Ready, Source, Watched, is_silent};
 use crate::request::{FinalAnswer, Incoming, Order, Ticket};
 use crate::resp::{self, VALUE_MAX, read_command};
@@ -29,6 +30,8 @@
 const IDLE: Nanos = 10_000 * MS;
 /// ... or, with more than half of the places taken, after this.
 const IDLE_CROWDED: Nanos = 2_000 * MS;
+/// ... or, when clients are sent away, after this: one that has just come may be about to ask.
+const IDLE_CLOSING: Nanos = 500 * MS;
 /// Beyond this part of the places, in hundredths, those that are idle longest are closed. Clients that ask once on a
 /// connection and keep it have a limit of their own: while they wait for the end of old ones they can't ask anew.
 const CROWD: usize = 40;
@@ -97,9 +100,8 @@
     next_connection: u64,
     /// The module's request ids: our own count, never the client's.
     next_request: u128,
-    /// The module can decide, so a client may come.
-    ready: bool,
-    stopping: bool,
+    /// What follows from the life cycle; set by `follow` alone.
+    stance: Stance,
     accepting: bool,
     /// What one read takes: kept by all together, since most connections stand idle.
     scratch: Vec<u8>,
@@ -107,7 +109,7 @@
 
 impl RespFront {
     /// Listens; at most `most` connections are held at once.
-    pub fn listen(poll: &Poll, address: SocketAddr, most: usize) -> io::Result<Self> {
+    pub fn listen(poll: &Poll, address: SocketAddr, most: usize, stance: Stance) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         log::info!("listening on {}, for at most {most} client connections", listener.local_addr()?);
         listener.set_nonblocking(true)?;
@@ -119,18 +121,12 @@
             most,
             next_connection: 0,
             next_request: 1,
-            ready: false,
-            stopping: false,
+            stance,
             accepting: true,
             scratch: vec![0; READ_SIZE],
         })
     }
 
-    /// From now on `PING` is answered `+PONG`.
-    pub fn set_ready(&mut self) {
-        self.ready = true;
-    }
-
     /// From now on at most this many connections are held; those that are open stay.
     pub fn set_most(&mut self, most: usize) {
         self.most = most;
@@ -262,6 +258,8 @@
     /// Takes the whole commands that have come, as many as may wait for their answers.
     fn parse(&mut self, number: u64, now: Nanos, events: &mut Vec<FrontEvent>, counters: &mut Counters) {
         let Some(c) = self.connections.get_mut(&number) else { return };
+        // One that has taken nothing yet may still ask; one that never ends must not keep its place for good.
+        c.last |= !self.stance.takes && c.spoken;
         let mut at = 0;
         while c.takes_commands() {
             match read_command(&c.input[at..]) {
@@ -271,7 +269,7 @@
                     at += length;
                     (c.spoken, c.since) = (true, now);
                     let ticket = Ticket { request: RequestId(self.next_request), connection: number };
-                    match command(input, &words, ticket, self.ready) {
+                    match command(input, &words, ticket, self.stance) {
                         Taken::Request(incoming) => {
                             self.next_request += 1;
                             c.places.push_back(Place::Waiting(incoming.ticket.request));
@@ -338,7 +336,7 @@
             if c.unsent() == 0 {
                 (c.output, c.written) = (Vec::new(), 0);
             }
-            let done = c.last || self.stopping && c.input.is_empty();
+            let done = c.last || self.stance.closes_idle && c.input.is_empty();
             if done && c.places.is_empty() && c.unsent() == 0 {
                 if c.last {
                     discard(c.stream.socket());
@@ -409,7 +407,11 @@
             }
         }
         let crowded = self.connections.len() > self.most / 2;
-        let most = if crowded { IDLE_CROWDED } else { IDLE };
+        let most = match (self.stance.closes_idle, crowded) {
+            (true, _) => IDLE_CLOSING,
+            (false, true) => IDLE_CROWDED,
+            (false, false) => IDLE,
+        };
         let done = |c: &ClientConnection| {
             c.is_idle() && now.saturating_sub(c.active) >= most && is_silent(c.stream.socket())
         };
@@ -437,22 +439,29 @@
         self.pause(false);
     }
 
-    /// From now on a connection is closed once nothing is owed on it; idle ones at once.
-    pub fn stop(&mut self, now: Nanos, events: &mut Vec<FrontEvent>, counters: &mut Counters) {
-        self.stopping = true;
-        for number in self.connections.keys().copied().collect::<Vec<_>>() {
-            // What has come but is not read yet is taken first: closing would lose it.
-            self.read(number, now, events, counters);
-            self.flush(number, now, events, counters);
+    /// Takes over what follows from the life cycle now. Whoever waits at a door that is about to close is let in first,
+    /// and what has come is read before its connection is closed: otherwise it would be lost.
+    pub fn follow(
+        &mut self,
+        stance: Stance,
+        now: Nanos,
+        events: &mut Vec<FrontEvent>,
+        counters: &mut Counters,
+    ) {
+        if self.stance == stance {
+            return;
+        }
+        if !stance.accepts {
+            self.accept(now, counters);
+            self.listener = None;
+        }
+        self.stance = stance;
+        if stance.closes_idle {
+            for number in self.connections.keys().copied().collect::<Vec<_>>() {
+                self.read(number, now, events, counters);
+                self.flush(number, now, events, counters);
+            }
         }
-    }
-
-    /// No new connections from now on. Those that came since the request to stop and were never used would keep
-    /// the program from ending: they are closed like the other idle ones.
-    pub fn stop_accepting(&mut self, now: Nanos, events: &mut Vec<FrontEvent>, counters: &mut Counters) {
-        self.accept(now, counters);
-        self.listener = None;
-        self.stop(now, events, counters);
     }
 }
 
@@ -477,7 +486,7 @@
     Nothing,
 }
 
-fn command(input: &[u8], words: &[Range<usize>], ticket: Ticket, ready: bool) -> Taken {
+fn command(input: &[u8], words: &[Range<usize>], ticket: Ticket, stance: Stance) -> Taken {
     let word = |i: usize| words.get(i).map_or(&[][..], |range| &input[range.clone()]);
     if words.is_empty() {
         return Taken::Nothing;
@@ -489,8 +498,8 @@
             request([word(1), word(2), word(3)], value, ticket).map_or_else(Taken::Malformed, Taken::Request)
         }
         (b"C.GET" | b"C.SET", _) => Taken::Malformed("wrong number of arguments".into()),
-        (b"PING", _) if ready => Taken::Answer(b"+PONG\r\n".to_vec()),
-        (b"PING", _) => Taken::Answer(error("LOADING no list of tile caches yet")),
+        (b"PING", _) if stance.ready => Taken::Answer(b"+PONG\r\n".to_vec()),
+        (b"PING", _) => Taken::Answer(error(&format!("LOADING {}", stance.state))),
         (b"CLIENT" | b"SELECT", _) => Taken::Answer(b"+OK\r\n".to_vec()),
         _ => {
             Taken::Malformed(format!("unknown command '{}'", word(0)[..word(0).len().min(32)].escape_ascii()))
@@ -559,10 +568,15 @@
 mod tests {
     use super::*;
 
+    const SERVING: Stance =
+        Stance { state: "serving", ready: true, accepts: true, closes_idle: false, takes: true };
+    const CLOSING: Stance = Stance { ready: false, closes_idle: true, ..SERVING };
+
     /// A front for this many connections, and a way to connect to it.
     fn front(most: usize) -> (RespFront, impl Fn() -> TcpStream) {
         let poll = Poll::new().expect("a poller");
-        let front = RespFront::listen(&poll, "127.0.0.1:0".parse().unwrap(), most).expect("it listens");
+        let front =
+            RespFront::listen(&poll, "127.0.0.1:0".parse().unwrap(), most, SERVING).expect("it listens");
         let address = front.listener.as_ref().unwrap().socket().local_addr().unwrap();
         (front, move || TcpStream::connect(address).expect("it takes clients"))
     }
@@ -674,13 +688,47 @@
     fn a_client_that_never_sends_does_not_keep_a_stopped_front_open() {
         let (mut front, connect) = front(9);
         let mut counters = Counters::default();
-        front.stop(0, &mut Vec::new(), &mut counters);
+        front.follow(CLOSING, 0, &mut Vec::new(), &mut counters);
         let _late = connect();
         front.accept(1, &mut counters);
         assert!(!front.is_empty());
         let _later = connect();
-        front.stop_accepting(2, &mut Vec::new(), &mut counters);
+        front.follow(Stance { accepts: false, ..CLOSING }, 2, &mut Vec::new(), &mut counters);
         assert!(front.is_empty());
         assert_eq!(counters.clients_accepted, 2);
     }
+
+    #[test]
+    fn in_a_drain_who_comes_and_stays_idle_or_never_ends_is_closed() {
+        let (mut front, connect) = front(9);
+        let (mut counters, mut events) = (Counters::default(), Vec::new());
+        front.follow(CLOSING, 0, &mut events, &mut counters);
+        let _idle = connect();
+        let mut endless = connect();
+        front.accept(1, &mut counters);
+        front.sweep(IDLE_CLOSING, &mut events, &mut counters);
+        assert_eq!(front.connections.len(), 2, "it may be about to ask");
+        // More comes whenever something is answered: a command is always open.
+        let command = resp::write_command(&[b"C.GET", b"a", b"1", b"c=read,d=900000"]);
+        endless.write_all(&command.repeat(2)).unwrap();
+        front.sweep(IDLE_CLOSING + 1, &mut events, &mut counters);
+        assert_eq!(front.connections.keys().copied().collect::<Vec<_>>(), [1], "the idle one has gone");
+        let ready = Ready { source: Source::Client(1), readable: true, writable: false };
+        front.ready(IDLE_CLOSING + 2, ready, &mut events, &mut counters);
+        assert_eq!(events.len(), 2);
+        front.follow(Stance { takes: false, ..CLOSING }, IDLE_CLOSING + 3, &mut events, &mut counters);
+        endless.write_all(&command).unwrap();
+        front.ready(IDLE_CLOSING + 4, ready, &mut events, &mut counters);
+        assert_eq!(events.len(), 2, "no further command is taken");
+        for event in std::mem::take(&mut events) {
+            let FrontEvent::Request(incoming) = event else { panic!("nobody has gone") };
+            assert!(!front.is_empty(), "what was taken is answered first");
+            front.answer(incoming.ticket, FinalAnswer::Failed);
+            front.flush(1, IDLE_CLOSING + 5, &mut Vec::new(), &mut counters);
+        }
+        assert!(front.is_empty());
+        let mut text = String::new();
+        endless.read_to_string(&mut text).unwrap();
+        assert_eq!(text, "-ERR failed\r\n".repeat(2));
+    }
 }
--- /dev/null
+++ b/balancer/src/life_cycle.rs
@@ -0,0 +1,244 @@
+//! The life cycle, without I/O: it is told what happens and when, and what the doors say and do follows from it alone.
+
+use crate::timers::MS;
+use finchyard::Nanos;
+
+/// How long client connections stay open in a drain: a front that asks ten times a second and takes 0.2 s to turn away
+/// has done so by then, and whoever is sent away sooner only comes back.
+pub const TURN_AWAY: Nanos = 400 * MS;
+/// How long new connections are taken after a request to stop: they keep coming for up to 0.4 s.
+pub const ACCEPT_ON: Nanos = 700 * MS;
+
+/// How long commands are taken from a connection that is to close, as long as it never stands idle: who sends without
+/// end would keep it open for good.
+pub const TAKE_ON: Nanos = 1_500 * MS;
+
+/// What follows for client connections at a moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stance {
+    /// The state's name, as logs, operators and clients read it.
+    pub state: &'static str,
+    /// `PING` is answered with a yes.
+    pub ready: bool,
+    /// New connections are taken.
+    pub accepts: bool,
+    /// A connection is closed once nothing is owed on it.
+    pub closes_idle: bool,
+    /// Commands are taken from open connections.
+    pub takes: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// There is no list of caches yet.
+    Starting,
+    Serving,
+    /// Drained by the operators since then; whether there is a list.
+    Quiesced {
+        since: Nanos,
+        listed: bool,
+    },
+    /// Asked to stop at that time.
+    Ending {
+        since: Nanos,
+    },
+}
+
+/// Where a process stands between its start and its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LifeCycle(State);
+
+/// Why a call of the operators changes nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Conflict;
+
+impl LifeCycle {
+    /// A process that has just started.
+    pub fn new() -> Self {
+        LifeCycle(State::Starting)
+    }
+
+    /// There is a list of caches. Tells whether that makes the process ready.
+    pub fn listed(&mut self) -> bool {
+        match &mut self.0 {
+            State::Starting => {
+                self.0 = State::Serving;
+                return true;
+            }
+            State::Quiesced { listed, .. } => *listed = true,
+            State::Serving | State::Ending { .. } => {}
+        }
+        false
+    }
+
+    /// The operators drain the process. Said again, it changes nothing.
+    pub fn quiesce(&mut self, now: Nanos) {
+        let listed = self.0 == State::Serving;
+        if matches!(self.0, State::Starting | State::Serving) {
+            self.0 = State::Quiesced { since: now, listed };
+        }
+    }
+
+    /// The operators end the drain. An end can't be taken back: clients have been sent away for good.
+    pub fn resume(&mut self) -> Result<(), Conflict> {
+        match self.0 {
+            State::Quiesced { listed: true, .. } => self.0 = State::Serving,
+            State::Quiesced { listed: false, .. } => self.0 = State::Starting,
+            State::Starting | State::Serving => {}
+            State::Ending { .. } => return Err(Conflict),
+        }
+        Ok(())
+    }
+
+    /// The process is asked to stop. Tells whether that is news.
+    pub fn stop(&mut self, now: Nanos) -> bool {
+        let news = !matches!(self.0, State::Ending { .. });
+        if news {
+            self.0 = State::Ending { since: now };
+        }
+        news
+    }
+
+    /// Whether `PING` and health say yes.
+    pub fn is_ready(&self) -> bool {
+        self.0 == State::Serving
+    }
+
+    /// The state's name, as logs and operators read it.
+    pub fn name(&self) -> &'static str {
+        match self.0 {
+            State::Starting => "starting",
+            State::Serving => "serving",
+            State::Quiesced { .. } => "quiesced",
+            State::Ending { .. } => "ending",
+        }
+    }
+
+    /// What follows for client connections. In a drain new ones are taken, for the front goes on asking.
+    pub fn stance(&self, now: Nanos) -> Stance {
+        let (accepts, closes_idle) = match self.0 {
+            State::Starting | State::Serving => (true, false),
+            State::Quiesced { since, .. } => (true, now >= since + TURN_AWAY),
+            State::Ending { since } => (now < since + ACCEPT_ON, true),
+        };
+        let takes = self.since().is_none_or(|since| now < since + TAKE_ON);
+        Stance { state: self.name(), ready: self.is_ready(), accepts, closes_idle, takes }
+    }
+
+    /// Since when clients are sent away, if they are.
+    fn since(&self) -> Option<Nanos> {
+        match self.0 {
+            State::Starting | State::Serving => None,
+            State::Quiesced { since, .. } | State::Ending { since } => Some(since),
+        }
+    }
+
+    /// When, if at all, something changes by time alone.
+    pub fn due(&self, now: Nanos) -> Option<Nanos> {
+        let since = self.since()?;
+        [TURN_AWAY, ACCEPT_ON, TAKE_ON].into_iter().map(|part| since + part).find(|at| *at > now)
+    }
+
+    /// Whether the process may end, with or without clients connected.
+    pub fn is_over(&self, now: Nanos, clients: bool) -> bool {
+        matches!(self.0, State::Ending { .. }) && !self.stance(now).accepts && !clients
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    #[derive(Clone, Copy, Debug)]
+    enum Step {
+        Listed,
+        Quiesce,
+        Resume,
+        Stop,
+    }
+
+    fn play(steps: &[Step], now: Nanos) -> LifeCycle {
+        let mut life = LifeCycle::new();
+        for step in steps {
+            match step {
+                Step::Listed => _ = life.listed(),
+                Step::Quiesce => life.quiesce(now),
+                Step::Resume => _ = life.resume(),
+                Step::Stop => _ = life.stop(now),
+            }
+        }
+        life
+    }
+
+    #[test]
+    fn each_order_of_calls_has_its_state() {
+        use Step::*;
+        let cases: [(&[Step], &str, bool); 12] = [
+            (&[], "starting", false),
+            (&[Listed], "serving", true),
+            (&[Listed, Quiesce], "quiesced", false),
+            (&[Listed, Quiesce, Quiesce], "quiesced", false),
+            (&[Listed, Quiesce, Resume], "serving", true),
+            (&[Listed, Resume], "serving", true),
+            (&[Quiesce, Listed], "quiesced", false),
+            (&[Quiesce, Listed, Resume], "serving", true),
+            (&[Quiesce, Resume], "starting", false),
+            (&[Quiesce, Resume, Listed], "serving", true),
+            (&[Listed, Quiesce, Stop, Resume], "ending", false),
+            (&[Stop, Listed, Quiesce], "ending", false),
+        ];
+        for (steps, name, ready) in cases {
+            let life = play(steps, 5);
+            assert_eq!((life.name(), life.is_ready()), (name, ready), "{steps:?}");
+        }
+        assert_eq!(play(&[Listed, Stop], 0).resume(), Err(Conflict));
+    }
+
+    #[test]
+    fn in_a_drain_connections_stay_until_the_front_has_turned_away() {
+        let mut life = play(&[Step::Listed], 0);
+        life.quiesce(1000);
+        life.quiesce(2000);
+        assert_eq!(life.due(1000), Some(1000 + TURN_AWAY), "said again it begins nothing anew");
+        assert!(!life.stance(999 + TURN_AWAY).closes_idle && life.stance(1000 + TURN_AWAY).closes_idle);
+        assert!(life.stance(999 + TAKE_ON).takes && !life.stance(1000 + TAKE_ON).takes);
+        assert!(life.stance(u64::MAX).accepts && !life.is_over(u64::MAX, false));
+        assert_eq!(life.due(1000 + TAKE_ON), None);
+        life.resume().unwrap();
+        let serving =
+            Stance { state: "serving", ready: true, accepts: true, closes_idle: false, takes: true };
+        assert_eq!(life.stance(u64::MAX), serving);
+    }
+
+    #[test]
+    fn an_end_takes_clients_for_a_while_and_waits_for_the_last() {
+        let mut life = play(&[Step::Listed], 0);
+        assert!(life.stop(1000) && !life.stop(2000));
+        assert!(life.stance(1000).closes_idle);
+        assert!(life.stance(999 + ACCEPT_ON).accepts && !life.stance(1000 + ACCEPT_ON).accepts);
+        assert!(!life.is_over(1000, false) && !life.is_over(1000 + ACCEPT_ON, true));
+        assert!(life.is_over(1000 + ACCEPT_ON, false));
+    }
+
+    proptest! {
+        #[test]
+        fn no_order_of_events_says_yes_while_sending_clients_away(
+            steps in prop::collection::vec(
+                prop::sample::select(vec![Step::Listed, Step::Quiesce, Step::Resume, Step::Stop]), 0..20),
+            now in 0..10 * TURN_AWAY,
+        ) {
+            let mut life = play(&steps, 0);
+            let stance = life.stance(now);
+            prop_assert!(!stance.ready || !stance.closes_idle && stance.accepts && stance.takes);
+            prop_assert!(stance.closes_idle || stance.accepts, "who isn't taken is not kept either");
+            // From everywhere but an end a resume and a list lead back to work; from there nothing does.
+            let ending = life.name() == "ending";
+            life.listed();
+            prop_assert_eq!(life.resume().is_err(), ending);
+            prop_assert_eq!(life.is_ready(), !ending);
+            life.stop(now);
+            prop_assert!(life.is_over(u64::MAX, false), "an end always comes");
+        }
+    }
+}
--- a/balancer/src/main.rs
+++ b/balancer/src/main.rs
@@ -8,6 +8,7 @@
 mod decide;
 mod event_loop;
 mod front;
+mod life_cycle;
 mod peers;
 mod poll;
 mod request;
--- a/balancer/src/poll.rs
+++ b/balancer/src/poll.rs
@@ -43,10 +43,14 @@
     Report,
     /// The request to read the configuration again.
     Reload,
+    /// The socket on which the operators call.
+    Management,
+    /// A connection of an operator's call, by its number.
+    Caller(u64),
 }
 
 impl Source {
-    const KINDS: u64 = 7;
+    const KINDS: u64 = 9;
 
     fn key(self) -> usize {
         let (number, kind) = match self {
@@ -57,6 +61,8 @@
             Source::Stop => (0, 4),
             Source::Report => (0, 5),
             Source::Reload => (0, 6),
+            Source::Management => (0, 7),
+            Source::Caller(n) => (n, 8),
         };
         (number * Self::KINDS + kind) as usize
     }
@@ -70,7 +76,9 @@
             3 => Source::Discovery(number),
             4 => Source::Stop,
             5 => Source::Report,
-            _ => Source::Reload,
+            6 => Source::Reload,
+            7 => Source::Management,
+            _ => Source::Caller(number),
         }
     }
 }
--- a/balancer/src/timers.rs
+++ b/balancer/src/timers.rs
@@ -44,8 +44,8 @@
     Discovery(u64),
     /// Idle and stuck connections are looked for.
     Sweep,
-    /// The last new client connection has been taken after a request to stop.
-    StopAccepting,
+    /// The life cycle goes on by time alone.
+    LifeCycle,
 }
 
 /// All timers.
--- a/balancer/tests/exchanges.rs
+++ b/balancer/tests/exchanges.rs
@@ -15,14 +15,15 @@
 //! | `log TEXT` | the program's next log line with this text comes |
 //! | `exit` | the program must end with exit code 0 |
 //!
-//! Names with `client` connect to the program; `cache`, `discovery` and `registry` are connected to. `\r`, `\n` and `\\` are
+//! Names with `client` connect to the program, those with `admin` to its management door; `cache`, `discovery` and `registry` are connected to. `\r`, `\n` and `\\` are
 //! escapes, `{N*x}` is N times the letter, `#` begins a comment line,
 //! `DISCOVERY`, `REGISTRY` (a second one) and `CACHE` are their addresses. Waits have no bound but [`PATIENCE`].
 
 use rstest::rstest;
+use socket2::SockRef;
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, channel};
@@ -50,7 +51,9 @@
 struct Stage {
     child: Child,
     address: String,
+    management: String,
     listeners: HashMap<&'static str, TcpListener>,
+    down: Vec<TcpListener>,
     streams: HashMap<String, TcpStream>,
     config: PathBuf,
     log: Receiver<String>,
@@ -78,6 +81,7 @@
             .env("GW_CONFIG", &config)
             .env_remove("GW_LISTEN")
             .env_remove("GW_DISCOVERY")
+            .env("GW_MANAGEMENT", "127.0.0.1:0")
             .env("RUST_LOG", "info")
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
@@ -85,11 +89,22 @@
             .expect("the program starts");
         let mut log = BufReader::new(child.stderr.take().expect("its log")).lines().map_while(Result::ok);
         let address = log.find_map(|l| Some(l.split_once("listening on ")?.1.split_once(',')?.0.to_string()));
+        let management = log.find_map(|l| Some(l.split_once("management listens on ")?.1.to_string()));
+        let management = management.expect("the program says where the operators call");
         let (lines, log_lines) = channel();
         // Read on even when nobody asks, or the program would wait for its log to be read.
         std::thread::spawn(move || log.for_each(|line| drop(lines.send(line))));
         let address = address.expect("the program says where it listens");
-        Stage { child, address, listeners, streams: HashMap::new(), config, log: log_lines }
+        Stage {
+            child,
+            address,
+            management,
+            listeners,
+            down: Vec::new(),
+            streams: HashMap::new(),
+            config,
+            log: log_lines,
+        }
     }
 
     /// The connection of this party, made or taken if there is none yet.
@@ -97,6 +112,9 @@
         if !self.streams.contains_key(name) {
             let stream = match self.listeners.get(name) {
                 Some(listener) => accept(listener),
+                None if name.contains("admin") => {
+                    TcpStream::connect(&self.management).expect("it takes calls")
+                }
                 None => TcpStream::connect(&self.address).expect("the program takes clients"),
             };
             stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
@@ -152,7 +170,10 @@
                 }
             }
             (_, ("do", "wn")) => {
-                self.listeners.remove(name).expect("it listens");
+                // Its port stays taken: set free, it might soon be somebody else's, who takes connections.
+                let listener = self.listeners.remove(name).expect("it listens");
+                SockRef::from(&listener).shutdown(Shutdown::Both).expect("it can stop listening");
+                self.down.push(listener);
             }
             _ => panic!("no such step"),
         }
