--- a/balancer/src/config.rs
+++ b/balancer/src/config.rs
@@ -7,6 +7,8 @@
 use serde_json::Value;
 use std::fmt;
 use std::net::SocketAddr;
+use std::os::fd::RawFd;
+use std::path::PathBuf;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Descriptors and memory where the configuration names no limits.
@@ -24,6 +26,10 @@
     pub listen: SocketAddr,
     /// Where the operators call, if anywhere.
     pub management: Option<SocketAddr>,
+    /// The clients' listening socket, if this process was started with it.
+    pub socket_fd: Option<RawFd>,
+    /// A folder for what two processes of one balancer tell each other.
+    pub folder: Option<PathBuf>,
     /// Where discovery is.
     pub discovery: SocketAddr,
     /// What the file says of that, whether or not the environment goes before it.
@@ -155,6 +161,15 @@
             },
             None => None,
         };
+        let socket_fd = match variable("GW_SOCKET_FD") {
+            Some(text) => Some(text.parse().map_err(|_| {
+                wrong(
+                    "GW_SOCKET_FD",
+                    format!("\"{text}\" is no number of a descriptor; a listening TCP socket is expected"),
+                )
+            })?),
+            None => None,
+        };
         let (settings, names, transport) = file.settings.translate().map_err(|e| wrong("settings", e))?;
         settings.check().map_err(|e| wrong(&format!("settings.{}", key_of(&e)), e.problem))?;
         let figure = |key: &str, value: Option<f64>, default: usize, least: usize| match value {
@@ -166,6 +181,8 @@
             name: variable("GW_NAME").or(file.name).unwrap_or_else(|| "balancer".into()),
             listen,
             management,
+            socket_fd,
+            folder: variable("TMPDIR").filter(|f| !f.is_empty()).map(PathBuf::from),
             discovery: address("GW_DISCOVERY", "discovery", file.discovery.clone())?,
             discovery_in_file: file.discovery,
             seed: seed(&file.seed),
@@ -213,6 +230,17 @@
         assert_eq!(config.settings.limits.max_attempts, 3);
     }
 
+    #[test]
+    fn the_inherited_socket_is_told_by_number() {
+        let fd = |text: &str| {
+            let variable = |name: &str| (name == "GW_SOCKET_FD").then(|| text.to_string());
+            Config::parse(GOOD, variable).map(|c| c.socket_fd).map_err(|e| e.to_string())
+        };
+        assert_eq!(fd("7"), Ok(Some(7)));
+        let error = "configuration: GW_SOCKET_FD: \"seven\" is no number of a descriptor; a listening TCP socket is expected";
+        assert_eq!(fd("seven"), Err(error.into()));
+    }
+
     #[test]
     fn a_new_address_of_discovery_in_the_file_goes_before_the_environment_at_a_reload() {
         let variable = |name: &str| (name == "GW_DISCOVERY").then(|| "127.0.0.9:1".to_string());
--- a/balancer/src/decide.rs
+++ b/balancer/src/decide.rs
@@ -3,7 +3,8 @@
 use crate::request::Incoming;
 use crate::upstream_group::{Host, HostList};
 use finchyard::{
-    Action, Brain, ClassId, Entry, Event, Key, ListScope, Nanos, NewRequest, Phase, ServerId, TenantId,
+    Action, Brain, ClassId, Entry, Event, Key, Learnt, ListScope, Nanos, NewRequest, Phase, ServerId,
+    TenantId,
 };
 use finchyard_settings::Names;
 use xxhash_rust::xxh3::xxh3_64;
@@ -34,6 +35,16 @@
         actions
     }
 
+    /// What the module has learnt, for the next process of this balancer.
+    pub fn learnt(&mut self) -> Learnt {
+        self.brain.learnt()
+    }
+
+    /// Takes over what another process's module had learnt, or tells what makes no sense of it.
+    pub fn recall(&mut self, learnt: &Learnt) -> Result<(), &'static str> {
+        self.brain.recall(learnt)
+    }
+
     /// A client's request in the module's terms; none if the settings don't name its class.
     pub fn request(&self, incoming: &Incoming) -> Option<Event> {
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
--- a/balancer/src/event_loop.rs
+++ b/balancer/src/event_loop.rs
@@ -5,23 +5,29 @@
 use crate::decide::{Decide, phase, server_id};
 use crate::front::management::{Asked, CALLERS_MAX, Call, Management};
 use crate::front::resp::{FrontEvent, RespFront};
+use crate::hand_over::HandOver;
 use crate::life_cycle::LifeCycle;
 use crate::peers::{Job, JobEnd, Outgoing, PeerEvent, Peers};
-use crate::poll::{Poll, Ready, Source, Watched};
+use crate::poll::{Poll, Ready, Source, Watched, inherited};
 use crate::request::{FinalAnswer, Incoming};
 use crate::resp::write_command;
+use crate::seats::Seats;
 use crate::timers::{Clock, Due, MS, Timers};
 use crate::tries::{Answer, Tries};
 use crate::upstream_group::{GroupEvent, HostList, UpstreamGroup};
-use finchyard::{Action, Brain, Event, Nanos, Outcome, Phase, RequestId, Why, Withheld};
+use finchyard::{Action, Brain, Event, Learnt, Nanos, Outcome, Phase, RequestId, Why, Withheld};
 use polling::Events;
+use serde::{Deserialize, Serialize};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use std::collections::{BTreeSet, VecDeque};
 use std::io::{self, Read, Write};
+use std::net::TcpListener;
 use std::os::unix::net::UnixStream;
 
 /// Descriptors kept for the listener, the poller, discovery, signals and the standard streams.
 const SOCKETS_KEPT: usize = 32;
+/// However few descriptors there are, peers and clients get this many.
+const SOCKETS_LEAST: usize = 12;
 /// Of the other descriptors peers get this part: most tries end before the next command of their client comes.
 const PEERS_PART: usize = 3;
 /// Of the memory, requests and answers together may hold this part.
@@ -31,6 +37,13 @@
 /// A probe is given up after this.
 const PROBE_TIMEOUT: Nanos = 500 * MS;
 
+/// What one process of a balancer leaves for the next.
+#[derive(Serialize, Deserialize)]
+struct Notes {
+    list: HostList,
+    learnt: Learnt,
+}
+
 /// The balancer at work.
 pub struct EventLoop {
     /// What the program runs by; `known` is taken out.
@@ -53,14 +66,41 @@
     max_open: usize,
     life: LifeCycle,
     management: Option<Management>,
+    /// The other process of an upgrade, where there can be one.
+    seats: Option<Seats>,
+    hand_over: HandOver,
 }
 
 /// How many descriptors peers and clients get, after the door for operators if there is one.
 fn split_sockets(sockets: usize, management: bool) -> (usize, usize) {
     // The listener and the callers.
     let kept = SOCKETS_KEPT + if management { 1 + CALLERS_MAX } else { 0 };
-    let for_peers = (sockets - kept) / PEERS_PART;
-    (for_peers, sockets - kept - for_peers)
+    let left = sockets.saturating_sub(kept).max(SOCKETS_LEAST);
+    let for_peers = left / PEERS_PART;
+    (for_peers, left - for_peers)
+}
+
+/// The clients' socket: the one this process was started with, or one of its own.
+fn clients_socket(config: &Config) -> Result<TcpListener, String> {
+    let Some(number) = config.socket_fd else {
+        return what(TcpListener::bind(config.listen), &format!("listening on {}", config.listen));
+    };
+    let listener = inherited(number).map_err(|e| {
+        format!("configuration: GW_SOCKET_FD: {number} {e}; a listening TCP socket is expected")
+    })?;
+    let address = what(listener.local_addr(), "GW_SOCKET_FD")?;
+    if address != config.listen {
+        log::warn!("GW_SOCKET_FD: descriptor {number} listens on {address}, not on {}", config.listen);
+    }
+    Ok(listener)
+}
+
+/// A seat beside the other process of an upgrade; without one this process serves as if it were alone.
+fn take_seat(config: &Config, now: Nanos) -> Option<Seats> {
+    config.socket_fd?;
+    let folder = config.folder.as_ref()?;
+    let process = format!("{}-{now}", std::process::id());
+    Seats::take(folder, process).map_err(|e| log::warn!("seat in $TMPDIR {}: {e}", folder.display())).ok()
 }
 
 /// A pipe that becomes readable with each of these signals.
@@ -87,7 +127,7 @@
         let brain = Brain::new(config.settings.clone(), config.seed, now).map_err(|e| e.to_string())?;
         let transport = config.transport;
         let known = config.known.take();
-        let life = LifeCycle::new();
+        let life = LifeCycle::new(config.socket_fd.is_some());
         let management = |address| {
             what(Management::listen(&poll, address), &format!("listening for management on {address}"))
         };
@@ -96,10 +136,12 @@
             report: what(signals(&poll, &[SIGUSR1], Source::Report), "signals")?,
             reload: what(signals(&poll, &[SIGHUP], Source::Reload), "signals")?,
             front: what(
-                RespFront::listen(&poll, config.listen, for_clients, life.stance(now)),
+                RespFront::listen(&poll, clients_socket(&config)?, for_clients, life.stance(now)),
                 &format!("listening on {}", config.listen),
             )?,
-            group: UpstreamGroup::new(&poll, config.discovery, known.as_ref().map(|list| list.seq)),
+            seats: take_seat(&config, now),
+            hand_over: HandOver::new(),
+            group: UpstreamGroup::new(&poll, config.discovery),
             peers: Peers::new(&poll, for_peers, transport.connect_timeout, transport.conn_idle),
             decide: Decide::new(brain, config.names.clone()),
             tries: Tries::default(),
@@ -116,6 +158,7 @@
         };
         me.peers.set_coming_most(me.memory / 2);
         me.timers.set(now + SWEEP, Due::Sweep);
+        me.look(now);
         if let Some(list) = known {
             me.list(list, true);
         }
@@ -236,6 +279,7 @@
                 self.timers.set(now + SWEEP, Due::Sweep);
             }
             Due::LifeCycle => self.follow(now),
+            Due::Look => self.look(now),
         }
     }
 
@@ -319,6 +363,7 @@
     /// Tells the module of a list, and the pools what it says of their peers.
     fn list(&mut self, list: HostList, stale: bool) {
         let now = self.clock.now();
+        self.group.learn(&list);
         let mut events = Vec::new();
         let mut listed = BTreeSet::new();
         for host in &list.hosts {
@@ -351,14 +396,74 @@
         }
         self.news.push(self.decide.list(&list, stale));
         self.peer_events(now, events);
-        if !list.hosts.is_empty() && self.life.listed() {
+        if !list.hosts.is_empty() {
+            self.life.listed();
             self.follow(now);
         }
     }
 
+    /// Looks for the other process of an upgrade.
+    fn look(&mut self, now: Nanos) {
+        let Some(seats) = &mut self.seats else { return };
+        let todo = self.hand_over.look(now, seats.other(), seats.notes_there(), self.life.is_ready());
+        if todo.split {
+            log::info!("another process of this balancer: {}", self.hand_over.is_beside());
+            self.split();
+        }
+        if let Some(to) = todo.write_notes_for
+            && let Some(list) = self.group.list()
+            && let Some(seats) = &self.seats
+        {
+            let notes = Notes { list, learnt: self.decide.learnt() };
+            match seats.write_notes(&to, notes) {
+                Ok(bytes) => log::info!("{bytes} bytes of notes left for process {to}"),
+                Err(e) => log::warn!("notes for process {to}: {e}"),
+            }
+        }
+        if todo.go_on {
+            match self.seats.as_ref().map(Seats::read_notes::<Notes>) {
+                Some(Ok(notes)) => self.recall(notes),
+                Some(Err(e)) => log::warn!("notes of the other process: {e}; going on without"),
+                None => {}
+            }
+        }
+        self.life.set_waits(self.hand_over.waits());
+        self.life.set_other_serves(self.hand_over.other_serves());
+        self.follow(now);
+        self.timers.set(now + self.hand_over.next_look(), Due::Look);
+    }
+
+    /// Takes over what the other process of this balancer knew. The list only if discovery has told no newer one.
+    fn recall(&mut self, notes: Notes) {
+        let known = self.group.list().map_or(0, |list| list.seq);
+        log::info!("notes of the other process: list {}, {} is known", notes.list.seq, known);
+        if notes.list.seq > known {
+            self.list(notes.list, true);
+        }
+        // The list goes first: what was learnt is of caches that are listed.
+        self.settle();
+        if let Err(e) = self.decide.recall(&notes.learnt) {
+            log::warn!("notes of the other process: {e}; going on without");
+        }
+    }
+
+    /// Gives each part what it may hold: half of it all while another process of this balancer lives.
+    fn split(&mut self) {
+        let processes = if self.hand_over.is_beside() { 2 } else { 1 };
+        let (for_peers, for_clients) =
+            split_sockets(self.config.sockets / processes, self.management.is_some());
+        self.memory = self.config.memory / processes / MEMORY_PART;
+        self.peers.set_most(for_peers);
+        self.peers.set_coming_most(self.memory / 2);
+        self.front.set_most(for_clients);
+    }
+
     /// Has the clients' door do what follows from the life cycle now.
     fn follow(&mut self, now: Nanos) {
         let mut events = Vec::new();
+        if let Some(seats) = &mut self.seats {
+            seats.set_ready(self.life.is_ready());
+        }
         self.front.follow(self.life.stance(now), now, &mut events, &mut self.counters);
         self.front_events(now, events);
         if let Some(due) = self.life.due(now) {
@@ -490,6 +595,8 @@
         drain(&self.stop);
         if self.life.stop(now) {
             log::info!("asked to stop: answering what was taken");
+            // The platform may have asked as soon as the newcomer was ready.
+            self.look(now);
             self.follow(now);
         }
     }
@@ -513,14 +620,10 @@
         if !later.is_empty() {
             log::warn!("changed, but heeded at the next start only: {}", later.join(", "));
         }
-        self.memory = new.memory / MEMORY_PART;
-        let (for_peers, for_clients) = split_sockets(new.sockets, self.management.is_some());
-        self.peers.set_most(for_peers);
-        self.peers.set_coming_most(self.memory / 2);
-        self.front.set_most(for_clients);
         let failed = self.group.move_to(new.discovery, now, &mut self.timers, &mut self.counters);
         self.group_events(failed.into_iter().collect());
         self.config = new;
+        self.split();
     }
 
     /// On standard output, so that no choice of log level hides them.
--- a/balancer/src/front/resp.rs
+++ b/balancer/src/front/resp.rs
@@ -1,7 +1,7 @@
 //! The RESP front: client connections, commands in, answers out in the order of the commands.
 
 use crate::counters::Counters;
-use crate::life_cycle::Stance;
+use crate::life_cycle::{Door, Stance};
 use crate::poll::{Poll, Ready, Source, Watched, is_silent};
 use crate::request::{FinalAnswer, Incoming, Order, Ticket};
 use crate::resp::{self, VALUE_MAX, read_command};
@@ -9,7 +9,7 @@
 use finchyard::{Nanos, RequestId};
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 use std::ops::Range;
 
 /// Commands of one connection that may wait for their answers; the next ones stay unread.
@@ -108,13 +108,12 @@
 }
 
 impl RespFront {
-    /// Listens; at most `most` connections are held at once.
-    pub fn listen(poll: &Poll, address: SocketAddr, most: usize, stance: Stance) -> io::Result<Self> {
-        let listener = TcpListener::bind(address)?;
+    /// Takes clients from this socket; at most `most` connections are held at once.
+    pub fn listen(poll: &Poll, listener: TcpListener, most: usize, stance: Stance) -> io::Result<Self> {
         log::info!("listening on {}, for at most {most} client connections", listener.local_addr()?);
         listener.set_nonblocking(true)?;
         let listener = poll.watch(listener, Source::Listener, true, false)?;
-        Ok(RespFront {
+        let mut front = RespFront {
             poll: poll.clone(),
             listener: Some(listener),
             connections: BTreeMap::new(),
@@ -124,7 +123,9 @@
             stance,
             accepting: true,
             scratch: vec![0; READ_SIZE],
-        })
+        };
+        front.pause(false);
+        Ok(front)
     }
 
     /// From now on at most this many connections are held; those that are open stay.
@@ -148,6 +149,9 @@
     /// Takes the clients that wait at the door.
     pub fn accept(&mut self, now: Nanos, counters: &mut Counters) {
         for _ in 0..ACCEPT_MAX {
+            if self.stance.door == Door::Waits {
+                return;
+            }
             if self.connections.len() >= self.most && !self.make_room(now, counters) {
                 // All are at work: whoever comes waits in the listener's queue until one is done. Taking it
                 // would use up the descriptors that peers and discovery need.
@@ -197,6 +201,7 @@
     }
 
     fn pause(&mut self, pause: bool) {
+        let pause = pause || self.stance.door == Door::Waits;
         if let Some(listener) = &mut self.listener
             && self.accepting == pause
         {
@@ -451,11 +456,15 @@
         if self.stance == stance {
             return;
         }
-        if !stance.accepts {
+        if stance.door == Door::Closed {
             self.accept(now, counters);
-            self.listener = None;
         }
         self.stance = stance;
+        if matches!(stance.door, Door::Closed | Door::Left) {
+            // Only this process's descriptor of it: the socket may be shared with another.
+            self.listener = None;
+        }
+        self.pause(false);
         if stance.closes_idle {
             for number in self.connections.keys().copied().collect::<Vec<_>>() {
                 self.read(number, now, events, counters);
@@ -569,14 +578,14 @@
     use super::*;
 
     const SERVING: Stance =
-        Stance { state: "serving", ready: true, accepts: true, closes_idle: false, takes: true };
+        Stance { state: "serving", ready: true, door: Door::Open, closes_idle: false, takes: true };
     const CLOSING: Stance = Stance { ready: false, closes_idle: true, ..SERVING };
 
     /// A front for this many connections, and a way to connect to it.
     fn front(most: usize) -> (RespFront, impl Fn() -> TcpStream) {
         let poll = Poll::new().expect("a poller");
-        let front =
-            RespFront::listen(&poll, "127.0.0.1:0".parse().unwrap(), most, SERVING).expect("it listens");
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let front = RespFront::listen(&poll, listener, most, SERVING).expect("it listens");
         let address = front.listener.as_ref().unwrap().socket().local_addr().unwrap();
         (front, move || TcpStream::connect(address).expect("it takes clients"))
     }
@@ -693,7 +702,7 @@
         front.accept(1, &mut counters);
         assert!(!front.is_empty());
         let _later = connect();
-        front.follow(Stance { accepts: false, ..CLOSING }, 2, &mut Vec::new(), &mut counters);
+        front.follow(Stance { door: Door::Closed, ..CLOSING }, 2, &mut Vec::new(), &mut counters);
         assert!(front.is_empty());
         assert_eq!(counters.clients_accepted, 2);
     }
--- /dev/null
+++ b/balancer/src/hand_over.rs
@@ -0,0 +1,145 @@
+//! Two processes of one balancer during an upgrade, without I/O: it is told what stands in the other's seat, and when.
+
+use crate::timers::MS;
+use finchyard::Nanos;
+
+/// How often a process looks whether the other lives.
+pub const LOOK: Nanos = 100 * MS;
+/// How often a newcomer looks for the notes that are due to it.
+pub const LOOK_FOR_NOTES: Nanos = 10 * MS;
+/// How long a newcomer waits for them.
+pub const NOTES_WAIT: Nanos = 500 * MS;
+
+/// The other process, as its seat tells.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Other {
+    /// A name of its own for each start.
+    pub process: String,
+    /// It is ready to serve.
+    pub ready: bool,
+}
+
+/// What is to be done after a look.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Todo {
+    /// Limits are to be split anew.
+    pub split: bool,
+    /// Notes are to be written for this process.
+    pub write_notes_for: Option<String>,
+    /// The notes that were waited for are due: read them, or go on without.
+    pub go_on: bool,
+}
+
+/// What one process knows of the other.
+#[derive(Debug)]
+pub struct HandOver {
+    other: Option<Other>,
+    /// Until when notes are waited for: only by who found another at its start.
+    notes_until: Option<Nanos>,
+    first: bool,
+    /// The process that notes were last written for.
+    served: Option<String>,
+}
+
+impl HandOver {
+    /// Nothing is seen yet.
+    pub fn new() -> Self {
+        HandOver { other: None, notes_until: None, first: true, served: None }
+    }
+
+    /// Takes in what stands in the other's seat, and whether notes for this process are there. Only who `serves` writes
+    /// notes.
+    pub fn look(&mut self, now: Nanos, other: Option<Other>, notes_there: bool, serves: bool) -> Todo {
+        let mut todo = Todo { split: other.is_some() != self.other.is_some(), ..Todo::default() };
+        if std::mem::take(&mut self.first) && other.as_ref().is_some_and(|o| o.ready) {
+            self.notes_until = Some(now + NOTES_WAIT);
+        }
+        self.other = other;
+        if let Some(until) = self.notes_until
+            && (notes_there || now >= until || self.other.is_none())
+        {
+            self.notes_until = None;
+            todo.go_on = true;
+        }
+        if let Some(other) = self.other.as_ref().filter(|o| serves && !o.ready)
+            && self.served.as_ref() != Some(&other.process)
+        {
+            self.served = Some(other.process.clone());
+            todo.write_notes_for = self.served.clone();
+        }
+        todo
+    }
+
+    /// Another process lives beside this one.
+    pub fn is_beside(&self) -> bool {
+        self.other.is_some()
+    }
+
+    /// The other process takes clients.
+    pub fn other_serves(&self) -> bool {
+        self.other.as_ref().is_some_and(|o| o.ready)
+    }
+
+    /// Notes may still come; until then this process is not ready.
+    pub fn waits(&self) -> bool {
+        self.notes_until.is_some()
+    }
+
+    /// When to look again.
+    pub fn next_look(&self) -> Nanos {
+        if self.waits() { LOOK_FOR_NOTES } else { LOOK }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn other(process: &str, ready: bool) -> Option<Other> {
+        Some(Other { process: process.into(), ready })
+    }
+
+    #[test]
+    fn a_newcomer_waits_for_its_notes_but_not_for_long_nor_for_the_dead() {
+        let there = |s: &mut HandOver| s.look(1, other("a", true), true, false);
+        let late = |s: &mut HandOver| s.look(NOTES_WAIT, other("a", true), false, false);
+        let dead = |s: &mut HandOver| s.look(1, None, false, false);
+        for (end, beside) in [(&there as &dyn Fn(&mut HandOver) -> Todo, true), (&late, true), (&dead, false)]
+        {
+            let mut hand_over = HandOver::new();
+            let first = hand_over.look(0, other("a", true), false, false);
+            assert_eq!(first, Todo { split: true, ..Todo::default() });
+            assert!(hand_over.waits() && hand_over.next_look() == LOOK_FOR_NOTES);
+            assert!(!hand_over.look(NOTES_WAIT - 1, other("a", true), false, false).go_on);
+            assert!(end(&mut hand_over).go_on);
+            assert_eq!((hand_over.waits(), hand_over.is_beside()), (false, beside));
+            assert!(!hand_over.look(2 * NOTES_WAIT, other("a", true), true, false).go_on, "only once");
+        }
+    }
+
+    #[test]
+    fn who_is_alone_or_beside_one_that_never_served_waits_for_nothing() {
+        for found in [None, other("a", false)] {
+            let mut hand_over = HandOver::new();
+            assert!(!hand_over.look(0, found, false, false).go_on);
+            assert!(!hand_over.waits());
+        }
+    }
+
+    #[test]
+    fn who_serves_writes_notes_once_for_each_newcomer() {
+        let mut hand_over = HandOver::new();
+        assert_eq!(hand_over.look(0, None, false, true), Todo::default());
+        let todo = hand_over.look(1, other("b", false), false, true);
+        assert_eq!(todo, Todo { split: true, write_notes_for: Some("b".into()), go_on: false });
+        assert_eq!(hand_over.look(2, other("b", false), false, true), Todo::default());
+        assert!(!hand_over.other_serves());
+        assert_eq!(hand_over.look(3, other("b", true), false, true), Todo::default());
+        assert!(hand_over.other_serves());
+        // It was killed, and another one came.
+        assert!(hand_over.look(4, None, false, true).split && !hand_over.is_beside());
+        assert_eq!(hand_over.look(5, other("c", false), false, true).write_notes_for, Some("c".into()));
+        let mut idle = HandOver::new();
+        assert_eq!(idle.look(0, other("c", false), false, false).write_notes_for, None, "it serves nobody");
+    }
+}
--- a/balancer/src/life_cycle.rs
+++ b/balancer/src/life_cycle.rs
@@ -13,6 +13,19 @@
 /// end would keep it open for good.
 pub const TAKE_ON: Nanos = 1_500 * MS;
 
+/// What becomes of those who connect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Door {
+    /// They are let in.
+    Open,
+    /// They wait, or go to the other process that shares the socket.
+    Waits,
+    /// The door is closed for good; who waits at it is let in before.
+    Closed,
+    /// The door is left for good, with those who wait at it, to the other process.
+    Left,
+}
+
 /// What follows for client connections at a moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Stance {
@@ -20,8 +33,8 @@
     pub state: &'static str,
     /// `PING` is answered with a yes.
     pub ready: bool,
-    /// New connections are taken.
-    pub accepts: bool,
+    /// New connections are taken, or not now, or never again.
+    pub door: Door,
     /// A connection is closed once nothing is owed on it.
     pub closes_idle: bool,
     /// Commands are taken from open connections.
@@ -30,8 +43,10 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
-    /// There is no list of caches yet.
-    Starting,
+    /// There is no list of caches yet, or there is but what another process knows is still waited for.
+    Starting {
+        listed: bool,
+    },
     Serving,
     /// Drained by the operators since then; whether there is a list.
     Quiesced {
@@ -46,68 +61,90 @@
 
 /// Where a process stands between its start and its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LifeCycle(State);
+pub struct LifeCycle {
+    state: State,
+    /// The clients' socket is the platform's, and other processes may take from it.
+    shared: bool,
+    /// One that serves clients does so now.
+    other_serves: bool,
+    /// What it knows is waited for.
+    waits: bool,
+}
 
 /// Why a call of the operators changes nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Conflict;
 
 impl LifeCycle {
-    /// A process that has just started.
-    pub fn new() -> Self {
-        LifeCycle(State::Starting)
+    /// A process that has just started, on a socket that is its own or shared.
+    pub fn new(shared: bool) -> Self {
+        LifeCycle { state: State::Starting { listed: false }, shared, other_serves: false, waits: false }
     }
 
-    /// There is a list of caches. Tells whether that makes the process ready.
-    pub fn listed(&mut self) -> bool {
-        match &mut self.0 {
-            State::Starting => {
-                self.0 = State::Serving;
-                return true;
-            }
-            State::Quiesced { listed, .. } => *listed = true,
-            State::Serving | State::Ending { .. } => {}
+    /// Whether another process that shares the socket serves clients.
+    pub fn set_other_serves(&mut self, serves: bool) {
+        self.other_serves = serves;
+    }
+
+    /// What another process knows is waited for, or no longer.
+    pub fn set_waits(&mut self, waits: bool) {
+        self.waits = waits;
+        self.settle();
+    }
+
+    /// There is a list of caches.
+    pub fn listed(&mut self) {
+        if let State::Starting { listed } | State::Quiesced { listed, .. } = &mut self.state {
+            *listed = true;
+        }
+        self.settle();
+    }
+
+    fn settle(&mut self) {
+        if self.state == (State::Starting { listed: true }) && !self.waits {
+            self.state = State::Serving;
         }
-        false
     }
 
     /// The operators drain the process. Said again, it changes nothing.
     pub fn quiesce(&mut self, now: Nanos) {
-        let listed = self.0 == State::Serving;
-        if matches!(self.0, State::Starting | State::Serving) {
-            self.0 = State::Quiesced { since: now, listed };
-        }
+        let listed = match self.state {
+            State::Starting { listed } => listed,
+            State::Serving => true,
+            State::Quiesced { .. } | State::Ending { .. } => return,
+        };
+        self.state = State::Quiesced { since: now, listed };
     }
 
     /// The operators end the drain. An end can't be taken back: clients have been sent away for good.
     pub fn resume(&mut self) -> Result<(), Conflict> {
-        match self.0 {
-            State::Quiesced { listed: true, .. } => self.0 = State::Serving,
-            State::Quiesced { listed: false, .. } => self.0 = State::Starting,
-            State::Starting | State::Serving => {}
+        match self.state {
+            State::Quiesced { listed, .. } => self.state = State::Starting { listed },
+            State::Starting { .. } | State::Serving => {}
             State::Ending { .. } => return Err(Conflict),
         }
+        self.settle();
         Ok(())
     }
 
     /// The process is asked to stop. Tells whether that is news.
     pub fn stop(&mut self, now: Nanos) -> bool {
-        let news = !matches!(self.0, State::Ending { .. });
+        let news = !matches!(self.state, State::Ending { .. });
         if news {
-            self.0 = State::Ending { since: now };
+            self.state = State::Ending { since: now };
         }
         news
     }
 
     /// Whether `PING` and health say yes.
     pub fn is_ready(&self) -> bool {
-        self.0 == State::Serving
+        self.state == State::Serving
     }
 
     /// The state's name, as logs and operators read it.
     pub fn name(&self) -> &'static str {
-        match self.0 {
-            State::Starting => "starting",
+        match self.state {
+            State::Starting { .. } => "starting",
             State::Serving => "serving",
             State::Quiesced { .. } => "quiesced",
             State::Ending { .. } => "ending",
@@ -116,19 +153,26 @@
 
     /// What follows for client connections. In a drain new ones are taken, for the front goes on asking.
     pub fn stance(&self, now: Nanos) -> Stance {
-        let (accepts, closes_idle) = match self.0 {
-            State::Starting | State::Serving => (true, false),
-            State::Quiesced { since, .. } => (true, now >= since + TURN_AWAY),
-            State::Ending { since } => (now < since + ACCEPT_ON, true),
+        let theirs = self.shared && self.other_serves;
+        let (door, closes_idle) = match self.state {
+            // On a shared socket a client that isn't answered yet is better off with the other, or in the queue.
+            State::Starting { .. } if self.shared => (Door::Waits, false),
+            State::Starting { .. } | State::Serving => (Door::Open, false),
+            State::Quiesced { since, .. } => {
+                (if theirs { Door::Waits } else { Door::Open }, now >= since + TURN_AWAY)
+            }
+            State::Ending { .. } if theirs => (Door::Left, true),
+            State::Ending { since } if now < since + ACCEPT_ON => (Door::Open, true),
+            State::Ending { .. } => (Door::Closed, true),
         };
         let takes = self.since().is_none_or(|since| now < since + TAKE_ON);
-        Stance { state: self.name(), ready: self.is_ready(), accepts, closes_idle, takes }
+        Stance { state: self.name(), ready: self.is_ready(), door, closes_idle, takes }
     }
 
     /// Since when clients are sent away, if they are.
     fn since(&self) -> Option<Nanos> {
-        match self.0 {
-            State::Starting | State::Serving => None,
+        match self.state {
+            State::Starting { .. } | State::Serving => None,
             State::Quiesced { since, .. } | State::Ending { since } => Some(since),
         }
     }
@@ -141,7 +185,9 @@
 
     /// Whether the process may end, with or without clients connected.
     pub fn is_over(&self, now: Nanos, clients: bool) -> bool {
-        matches!(self.0, State::Ending { .. }) && !self.stance(now).accepts && !clients
+        matches!(self.state, State::Ending { .. })
+            && matches!(self.stance(now).door, Door::Closed | Door::Left)
+            && !clients
     }
 }
 
@@ -159,10 +205,10 @@
     }
 
     fn play(steps: &[Step], now: Nanos) -> LifeCycle {
-        let mut life = LifeCycle::new();
+        let mut life = LifeCycle::new(false);
         for step in steps {
             match step {
-                Step::Listed => _ = life.listed(),
+                Step::Listed => life.listed(),
                 Step::Quiesce => life.quiesce(now),
                 Step::Resume => _ = life.resume(),
                 Step::Stop => _ = life.stop(now),
@@ -203,11 +249,11 @@
         assert_eq!(life.due(1000), Some(1000 + TURN_AWAY), "said again it begins nothing anew");
         assert!(!life.stance(999 + TURN_AWAY).closes_idle && life.stance(1000 + TURN_AWAY).closes_idle);
         assert!(life.stance(999 + TAKE_ON).takes && !life.stance(1000 + TAKE_ON).takes);
-        assert!(life.stance(u64::MAX).accepts && !life.is_over(u64::MAX, false));
+        assert!(life.stance(u64::MAX).door == Door::Open && !life.is_over(u64::MAX, false));
         assert_eq!(life.due(1000 + TAKE_ON), None);
         life.resume().unwrap();
         let serving =
-            Stance { state: "serving", ready: true, accepts: true, closes_idle: false, takes: true };
+            Stance { state: "serving", ready: true, door: Door::Open, closes_idle: false, takes: true };
         assert_eq!(life.stance(u64::MAX), serving);
     }
 
@@ -216,11 +262,48 @@
         let mut life = play(&[Step::Listed], 0);
         assert!(life.stop(1000) && !life.stop(2000));
         assert!(life.stance(1000).closes_idle);
-        assert!(life.stance(999 + ACCEPT_ON).accepts && !life.stance(1000 + ACCEPT_ON).accepts);
+        assert_eq!(life.stance(999 + ACCEPT_ON).door, Door::Open);
+        assert_eq!(life.stance(1000 + ACCEPT_ON).door, Door::Closed);
         assert!(!life.is_over(1000, false) && !life.is_over(1000 + ACCEPT_ON, true));
         assert!(life.is_over(1000 + ACCEPT_ON, false));
     }
 
+    #[test]
+    fn it_is_ready_once_there_is_a_list_and_nothing_is_waited_for() {
+        let mut life = LifeCycle::new(true);
+        life.set_waits(true);
+        life.listed();
+        assert!(!life.is_ready());
+        life.set_waits(false);
+        assert!(life.is_ready());
+        life.set_waits(true);
+        assert!(life.is_ready(), "too late to wait");
+    }
+
+    #[test]
+    fn on_a_shared_socket_the_door_is_left_to_the_one_that_serves() {
+        let mut life = LifeCycle::new(true);
+        assert_eq!(life.stance(0).door, Door::Waits, "not ready: the queue is the other's");
+        life.listed();
+        assert_eq!(life.stance(0).door, Door::Open);
+        life.set_other_serves(true);
+        assert_eq!(life.stance(0).door, Door::Open, "both serve until one is asked to stop");
+        let serving = life;
+        life.quiesce(0);
+        assert_eq!(life.stance(0).door, Door::Waits, "the other answers");
+        life = serving;
+        life.stop(0);
+        assert!(life.stance(0).door == Door::Left && life.is_over(0, false) && !life.is_over(0, true));
+        // Killed before it could take over: whoever comes is better off here.
+        life.set_other_serves(false);
+        assert_eq!(life.stance(ACCEPT_ON - 1).door, Door::Open);
+        assert_eq!(life.stance(ACCEPT_ON).door, Door::Closed);
+        let mut alone = LifeCycle::new(false);
+        alone.set_other_serves(true);
+        alone.stop(0);
+        assert_eq!(alone.stance(0).door, Door::Open, "nobody shares the socket");
+    }
+
     proptest! {
         #[test]
         fn no_order_of_events_says_yes_while_sending_clients_away(
@@ -230,8 +313,8 @@
         ) {
             let mut life = play(&steps, 0);
             let stance = life.stance(now);
-            prop_assert!(!stance.ready || !stance.closes_idle && stance.accepts && stance.takes);
-            prop_assert!(stance.closes_idle || stance.accepts, "who isn't taken is not kept either");
+            prop_assert!(!stance.ready || !stance.closes_idle && stance.door == Door::Open && stance.takes);
+            prop_assert!(stance.closes_idle || stance.door == Door::Open, "who isn't taken is not kept either");
             // From everywhere but an end a resume and a list lead back to work; from there nothing does.
             let ending = life.name() == "ending";
             life.listed();
--- a/balancer/src/poll.rs
+++ b/balancer/src/poll.rs
@@ -1,9 +1,10 @@
 //! The one wrapper round `polling`: sockets are watched as long as they live, and no longer.
 
 use polling::{AsSource, Event, Events, PollMode, Poller};
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::{BorrowedFd, FromRawFd, RawFd};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,6 +22,25 @@
     }
 }
 
+/// The listening TCP socket that this process was started with under that number, or why it is none.
+#[allow(unsafe_code)]
+pub fn inherited(number: RawFd) -> Result<TcpListener, String> {
+    if number <= 2 {
+        return Err("is a standard stream".into());
+    }
+    // SAFETY: the number is only looked at until it is known to be an open socket, and never closed by this.
+    let looked_at = unsafe { BorrowedFd::borrow_raw(number) };
+    let socket = SockRef::from(&looked_at);
+    let kind = socket.r#type().map_err(|e| format!("is no open socket: {e}"))?;
+    if kind != Type::STREAM || !socket.is_listener().unwrap_or(false) {
+        return Err("is no listening TCP socket".into());
+    }
+    socket.local_addr().ok().and_then(|a| a.as_socket()).ok_or("is no listening TCP socket")?;
+    // SAFETY: it is open, and given to this process for its own by whoever started it: nothing else here holds it,
+    // for this is called once, before any descriptor of that number could have been opened by the program itself.
+    Ok(unsafe { TcpListener::from_raw_fd(number) })
+}
+
 /// Whether a connection stands and nothing waits to be read on it.
 pub fn is_silent(stream: &TcpStream) -> bool {
     matches!(stream.peek(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
@@ -178,3 +198,30 @@
         let _ = self.poller.delete(&self.socket);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::os::fd::{AsRawFd, IntoRawFd};
+
+    #[test]
+    fn only_a_listening_tcp_socket_is_inherited() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let client = TcpStream::connect(address).unwrap();
+        let udp = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+        let file = std::fs::File::open("/dev/null").unwrap();
+        let wrong = [
+            (2, "is a standard stream"),
+            (client.as_raw_fd(), "is no listening TCP socket"),
+            (udp.as_raw_fd(), "is no listening TCP socket"),
+            (file.as_raw_fd(), "is no open socket: Socket operation on non-socket (os error 88)"),
+            (1_000_000, "is no open socket: Bad file descriptor (os error 9)"),
+        ];
+        for (number, problem) in wrong {
+            assert_eq!(inherited(number).err().as_deref(), Some(problem));
+        }
+        let inherited = inherited(listener.into_raw_fd()).unwrap();
+        assert_eq!(inherited.local_addr().unwrap(), address);
+    }
+}
--- /dev/null
+++ b/balancer/src/seats.rs
@@ -0,0 +1,219 @@
+//! The files in `$TMPDIR` by which the two processes of an upgrade know of each other: a seat each, locked as long as the
+//! process in it lives, and the notes that one leaves for the other. The kernel frees a lock however a process ends.
+
+use crate::hand_over::Other;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::fs::{File, OpenOptions};
+use std::io::{self, Read, Seek, SeekFrom, Write};
+use std::path::{Path, PathBuf};
+
+/// What stands in a seat is no longer than this.
+const SEAT_MAX: u64 = 256;
+/// Notes are no longer than this.
+pub const NOTES_MAX: usize = 1 << 20;
+/// The form of the notes; another one is not read.
+const VERSION: u32 = 1;
+
+#[derive(Serialize, Deserialize)]
+struct Seat {
+    process: String,
+    ready: bool,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Notes<T> {
+    version: u32,
+    /// The process that they are written for.
+    to: String,
+    notes: T,
+}
+
+/// The two seats, of which this process has one.
+pub struct Seats {
+    files: [File; 2],
+    /// Which one is taken; none while both are others'.
+    own: Option<usize>,
+    process: String,
+    ready: bool,
+    notes: PathBuf,
+}
+
+impl Seats {
+    /// Takes a free seat in this folder under this process's name.
+    pub fn take(folder: &Path, process: String) -> io::Result<Self> {
+        let open = |place: usize| {
+            let path = folder.join(format!("pipitrun.seat-{place}"));
+            OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)
+        };
+        let notes = folder.join("pipitrun.notes");
+        // What was left for a process that died before it read it. Nothing is left for this one before it sits.
+        let _ = std::fs::remove_file(&notes);
+        let mut seats = Seats { files: [open(0)?, open(1)?], own: None, process, ready: false, notes };
+        seats.sit();
+        Ok(seats)
+    }
+
+    /// Takes a free seat if this process has none: the other may only have been looking whether one is free.
+    fn sit(&mut self) {
+        if self.own.is_none() {
+            self.own = (0..2).find(|place| self.files[*place].try_lock().is_ok());
+            self.write();
+        }
+    }
+
+    fn write(&mut self) {
+        let Some(own) = self.own else { return };
+        let seat = Seat { process: self.process.clone(), ready: self.ready };
+        let text = serde_json::to_vec(&seat).unwrap_or_default();
+        let file = &mut self.files[own];
+        let written =
+            file.seek(SeekFrom::Start(0)).and_then(|_| file.set_len(0)).and_then(|()| file.write_all(&text));
+        if let Err(e) = written {
+            log::warn!("seat in $TMPDIR: {e}");
+        }
+    }
+
+    /// From now on the seat says that this process is ready, or no longer.
+    pub fn set_ready(&mut self, ready: bool) {
+        if self.ready != ready {
+            self.ready = ready;
+            self.write();
+        }
+    }
+
+    /// The other process, if one lives. One whose seat can't be read yet is there, but not ready.
+    pub fn other(&mut self) -> Option<Other> {
+        self.sit();
+        let unknown = Other { process: String::new(), ready: false };
+        let Some(own) = self.own else { return Some(unknown) };
+        let file = &mut self.files[1 - own];
+        if file.try_lock_shared().is_ok() {
+            // Nobody sits there.
+            let _ = file.unlock();
+            return None;
+        }
+        let mut text = Vec::new();
+        let read = file.seek(SeekFrom::Start(0)).and_then(|_| file.take(SEAT_MAX).read_to_end(&mut text));
+        let seat: Option<Seat> = read.ok().and_then(|_| serde_json::from_slice(&text).ok());
+        Some(seat.map_or(unknown, |s| Other { process: s.process, ready: s.ready }))
+    }
+
+    /// Whether notes lie there that nobody has looked at yet; whom they are for is only known once they are read.
+    pub fn notes_there(&self) -> bool {
+        self.notes.exists()
+    }
+
+    /// Leaves notes for this process; who reads them finds them whole or not at all.
+    pub fn write_notes<T: Serialize>(&self, to: &str, notes: T) -> io::Result<usize> {
+        let notes = Notes { version: VERSION, to: to.into(), notes };
+        let text = serde_json::to_vec(&notes)?;
+        if text.len() > NOTES_MAX {
+            return Err(io::Error::other(format!("{} bytes are too long", text.len())));
+        }
+        let new = self.notes.with_extension("notes.new");
+        std::fs::write(&new, &text)?;
+        std::fs::rename(new, &self.notes)?;
+        Ok(text.len())
+    }
+
+    /// The notes that were left for this process, or why there are none. They are taken away: nobody else needs them.
+    pub fn read_notes<T: DeserializeOwned>(&self) -> Result<T, String> {
+        let mut text = Vec::new();
+        File::open(&self.notes)
+            .and_then(|file| file.take(NOTES_MAX as u64 + 1).read_to_end(&mut text))
+            .map_err(|e| e.to_string())?;
+        let _ = std::fs::remove_file(&self.notes);
+        if text.len() > NOTES_MAX {
+            return Err(format!("longer than {NOTES_MAX} bytes"));
+        }
+        #[derive(Deserialize)]
+        struct Head {
+            version: u32,
+            to: String,
+        }
+        let head: Head = serde_json::from_slice(&text).map_err(|e| e.to_string())?;
+        if head.version != VERSION {
+            return Err(format!("of version {}, not {VERSION}", head.version));
+        }
+        if head.to != self.process {
+            return Err(format!("for {}, not for {}", head.to, self.process));
+        }
+        let mut json = serde_json::Deserializer::from_slice(&text);
+        let notes: Notes<T> = serde_path_to_error::deserialize(&mut json)
+            .map_err(|e| format!("{}: {}", e.path(), e.inner()))?;
+        Ok(notes.notes)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A folder of its own that goes with the test.
+    struct Folder(PathBuf);
+
+    impl Folder {
+        fn new(name: &str) -> Self {
+            let path = std::env::temp_dir().join(format!("pipitrun-seats-{}-{name}", std::process::id()));
+            std::fs::create_dir_all(&path).unwrap();
+            Folder(path)
+        }
+
+        fn seat(&self, process: &str) -> Seats {
+            Seats::take(&self.0, process.into()).unwrap()
+        }
+    }
+
+    impl Drop for Folder {
+        fn drop(&mut self) {
+            let _ = std::fs::remove_dir_all(&self.0);
+        }
+    }
+
+    #[test]
+    fn two_processes_see_each_other_as_long_as_both_live() {
+        let folder = Folder::new("two");
+        let mut a = folder.seat("a");
+        assert_eq!(a.other(), None);
+        let mut b = folder.seat("b");
+        assert_eq!(a.other(), Some(Other { process: "b".into(), ready: false }));
+        b.set_ready(true);
+        assert_eq!(a.other(), Some(Other { process: "b".into(), ready: true }));
+        assert_eq!(b.other(), Some(Other { process: "a".into(), ready: false }));
+        let mut c = folder.seat("c");
+        assert_eq!(c.other().map(|o| o.ready), Some(false), "no seat is free");
+        drop(a);
+        assert_eq!(b.other(), None, "what stands in the seat of the dead is nothing");
+        assert_eq!(c.other().map(|o| o.process), Some("b".into()), "now one is");
+        assert_eq!(b.other().map(|o| o.process), Some("c".into()));
+    }
+
+    #[test]
+    fn notes_that_are_torn_foreign_old_or_too_long_are_named_and_taken_away() {
+        let folder = Folder::new("notes");
+        let seats = folder.seat("b");
+        let long = format!("\"{}\"", "x".repeat(NOTES_MAX));
+        let cases = [
+            ("", "EOF while parsing a value at line 1 column 0"),
+            ("{\"version\":1,\"to\":\"b\",\"no", "EOF while parsing a string at line 1 column 25"),
+            ("{\"version\":2,\"to\":\"b\"}", "of version 2, not 1"),
+            ("{\"version\":1,\"to\":\"a\",\"notes\":[1]}", "for a, not for b"),
+            (
+                "{\"version\":1,\"to\":\"b\",\"notes\":[1,\"x\"]}",
+                "notes[1]: invalid type: string \"x\", expected u64 at line 1 column 36",
+            ),
+            (&long, "longer than 1048576 bytes"),
+        ];
+        for (text, problem) in cases {
+            std::fs::write(&seats.notes, text).unwrap();
+            assert_eq!(seats.read_notes::<Vec<u64>>(), Err(problem.to_string()));
+            assert!(!seats.notes_there());
+        }
+        let a = folder.seat("a");
+        a.write_notes("b", [5, 7]).unwrap();
+        assert_eq!(seats.read_notes::<Vec<u64>>(), Ok(vec![5, 7]));
+        assert!(a.write_notes("b", "x".repeat(NOTES_MAX)).is_err());
+        assert!(!seats.notes_there(), "none are better than half of them");
+    }
+}
--- a/balancer/src/timers.rs
+++ b/balancer/src/timers.rs
@@ -44,6 +44,8 @@
     Discovery(u64),
     /// Idle and stuck connections are looked for.
     Sweep,
+    /// Look for the other process of an upgrade.
+    Look,
     /// The life cycle goes on by time alone.
     LifeCycle,
 }
--- a/balancer/src/upstream_group.rs
+++ b/balancer/src/upstream_group.rs
@@ -4,8 +4,9 @@
 use crate::poll::{Poll, Ready, Source, Watched, connect};
 use crate::timers::{Due, MS, Timers};
 use finchyard::Nanos;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
@@ -24,7 +25,7 @@
 const HEADERS_MAX: usize = 32;
 
 /// The list, or a change of it.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct HostList {
     /// Its version.
     pub seq: u64,
@@ -37,7 +38,7 @@
 }
 
 /// A peer as discovery knows it. Only its name must be there.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Host {
     /// Its name, the same at every balancer.
     pub host: String,
@@ -108,14 +109,45 @@
     next_call: u64,
     /// The version up to which all changes are known.
     seq: Option<u64>,
+    /// All that are listed, as of that version, by name.
+    hosts: BTreeMap<String, Host>,
     /// The module wants a watch.
     wanted: bool,
 }
 
 impl UpstreamGroup {
-    /// Nothing is asked yet; `seq` is the version of the list that is known from before.
-    pub fn new(poll: &Poll, address: SocketAddr, seq: Option<u64>) -> Self {
-        UpstreamGroup { poll: poll.clone(), address, call: None, next_call: 0, seq, wanted: false }
+    /// Nothing is asked yet.
+    pub fn new(poll: &Poll, address: SocketAddr) -> Self {
+        let hosts = BTreeMap::new();
+        UpstreamGroup {
+            poll: poll.clone(),
+            address,
+            call: None,
+            next_call: 0,
+            seq: None,
+            hosts,
+            wanted: false,
+        }
+    }
+
+    /// Takes over what is listed now, from discovery or from before.
+    pub fn learn(&mut self, list: &HostList) {
+        self.seq = Some(list.seq);
+        if list.whole {
+            self.hosts.clear();
+        }
+        for host in &list.hosts {
+            if host.health == "terminated" {
+                self.hosts.remove(&host.host);
+            } else {
+                self.hosts.insert(host.host.clone(), host.clone());
+            }
+        }
+    }
+
+    /// The whole list as it is known, if one is.
+    pub fn list(&self) -> Option<HostList> {
+        Some(HostList { seq: self.seq?, whole: true, hosts: self.hosts.values().cloned().collect() })
     }
 
     /// Begins a watch, unless one is open.
@@ -238,7 +270,6 @@
             let mut json = serde_json::Deserializer::from_slice(line);
             let list: HostList = serde_path_to_error::deserialize(&mut json)
                 .map_err(|e| format!("line of the list: {}: {}", e.path(), e.inner()))?;
-            self.seq = Some(list.seq);
             counters.list_news += 1;
             events.push(GroupEvent::News(list));
         }
@@ -377,7 +408,7 @@
         let poll = Poll::new().unwrap();
         for (up, answer, given_up) in [(false, "", CONNECT), (true, "", SILENCE_BEFORE), (true, "x", SILENCE)]
         {
-            let mut group = UpstreamGroup::new(&poll, listener.local_addr().unwrap(), None);
+            let mut group = UpstreamGroup::new(&poll, listener.local_addr().unwrap());
             let (mut timers, mut counters, mut events) = (Timers::default(), Counters::default(), Vec::new());
             assert!(group.watch(0, &mut timers, &mut counters).is_none());
             let mut discovery = listener.accept().unwrap().0;
@@ -396,4 +427,18 @@
             }
         }
     }
+
+    #[test]
+    fn the_list_that_is_handed_over_is_the_last_whole_one_with_its_changes() {
+        let list = |text: &str| serde_json::from_str::<HostList>(text).unwrap();
+        let mut group = UpstreamGroup::new(&Poll::new().unwrap(), "127.0.0.1:1".parse().unwrap());
+        assert!(group.list().is_none());
+        group.learn(&list(r#"{"seq":3,"whole":true,"hosts":[{"host":"z"}]}"#));
+        group.learn(&list(r#"{"seq":4,"whole":true,"hosts":[{"host":"a","dial":"x:1"},{"host":"b"}]}"#));
+        let change = r#"{"seq":5,"hosts":[{"host":"b","health":"terminated"},{"host":"a","dial":"y:1"},{"host":"c"}]}"#;
+        group.learn(&list(change));
+        let now = group.list().unwrap();
+        let hosts: Vec<_> = now.hosts.iter().map(|h| (h.host.as_str(), h.dial.as_str())).collect();
+        assert_eq!((now.seq, now.whole, hosts), (5, true, vec![("a", "y:1"), ("c", "")]));
+    }
 }
--- /dev/null
+++ b/balancer/tests/upgrade.rs
@@ -0,0 +1,330 @@
+//! Two processes of one balancer on a listening socket that both inherit, under a stream of requests: a new version takes over,
+//! and either of them is killed.
+
+use socket2::Socket;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, channel};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// After this something has failed; nothing in a working program comes near it.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+const CONFIG: &str = r#"{"name":"n1","listen":"LISTEN","discovery":"127.0.0.1:1","seed":"2a",
+    "limits":{"cores":1.0,"memory_mb":64,"sockets":1024},
+    "known":{"seq":41,"whole":true,"hosts":[{"host":"s-1","dial":"CACHE","health":"in_service"}]},
+    "settings":{"group_size":1,"membership_mode":"subscribe","caps":{"max_attempts":3},
+        "profiles":[{"name":"read","repeat":"safe","goal_time_ns":3000000000,"give_up_ns":9000000000}]}}"#;
+
+/// Reads one RESP command; none at the end.
+fn command(from: &mut impl BufRead) -> Option<Vec<Vec<u8>>> {
+    let mut line = String::new();
+    let mut number = |from: &mut dyn BufRead| -> Option<usize> {
+        line.clear();
+        from.read_line(&mut line).ok()?;
+        line.trim().get(1..)?.parse().ok()
+    };
+    let count = number(from)?;
+    let mut words = Vec::new();
+    for _ in 0..count {
+        let mut word = vec![0; number(from)? + 2];
+        from.read_exact(&mut word).ok()?;
+        word.truncate(word.len() - 2);
+        words.push(word);
+    }
+    Some(words)
+}
+
+/// A cache that answers each read with its id.
+fn cache() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            std::thread::spawn(move || {
+                let mut from = BufReader::new(stream.try_clone().unwrap());
+                let mut to = stream;
+                while let Some(words) = command(&mut from) {
+                    // As a cache does: after answers within microseconds the balancer gives a millisecond up as hopeless.
+                    std::thread::sleep(Duration::from_millis(5));
+                    let id = String::from_utf8(words[2].clone()).unwrap();
+                    let answer = format!("*3\r\n${}\r\n{id}\r\n$3\r\nhit\r\n$-1\r\n", id.len());
+                    if to.write_all(answer.as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+struct Process {
+    child: Child,
+    management: String,
+    log: Receiver<String>,
+}
+
+impl Process {
+    /// Whether it is ready to serve, as it says itself.
+    fn is_ready(&self) -> bool {
+        let mut stream = TcpStream::connect(&self.management).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.write_all(b"GET /admin/health HTTP/1.1\r\n\r\n").unwrap();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).unwrap();
+        text.starts_with("HTTP/1.1 200 ")
+    }
+
+    fn wait_ready(&self) {
+        let asked = Instant::now();
+        while !self.is_ready() {
+            assert!(asked.elapsed() < PATIENCE, "never ready");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    fn wait_log(&self, text: &str) {
+        while !self.log.recv_timeout(PATIENCE).expect("a log line").contains(text) {}
+    }
+
+    fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
+        assert!(sent.expect("kill is there").success());
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// What the processes share.
+struct Stage {
+    socket: Socket,
+    address: String,
+    folder: PathBuf,
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Stage {
+    fn set(name: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let socket = Socket::from(listener);
+        socket.set_cloexec(false).unwrap();
+        let folder = std::env::temp_dir().join(format!("pipitrun-upgrade-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let config = CONFIG.replace("LISTEN", &address).replace("CACHE", &cache());
+        std::fs::write(folder.join("config.json"), config).unwrap();
+        Stage { socket, address, folder }
+    }
+
+    fn start(&self) -> Process {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_pipitrun"))
+            .env("GW_CONFIG", self.folder.join("config.json"))
+            .env("GW_MANAGEMENT", "127.0.0.1:0")
+            .env("GW_SOCKET_FD", self.socket.as_raw_fd().to_string())
+            .env("TMPDIR", &self.folder)
+            .env("RUST_LOG", "info")
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+        let management = log.find_map(|l| Some(l.split_once("management listens on ")?.1.to_string()));
+        let (lines, log_lines) = channel();
+        std::thread::spawn(move || {
+            log.for_each(|line| {
+                println!("{line}");
+                drop(lines.send(line));
+            });
+        });
+        Process { child, management: management.expect("it says where it is called"), log: log_lines }
+    }
+}
+
+/// One request on this connection; false if the connection has ended without an answer. Whatever comes must be the whole answer.
+fn ask(stream: &mut TcpStream, id: &str) -> bool {
+    let fields = "c=read,d=9000";
+    let command =
+        format!("*4\r\n$5\r\nC.GET\r\n$1\r\nk\r\n${}\r\n{id}\r\n${}\r\n{fields}\r\n", id.len(), fields.len());
+    if stream.write_all(command.as_bytes()).is_err() {
+        return false;
+    }
+    let want = format!("${}\r\n{id}\r\n", id.len());
+    let mut got = vec![0; want.len()];
+    // The shortest answer is a refusal: whoever waits for more than that may wait for good.
+    let (start, rest) = got.split_at_mut(b"-BUSY\r\n".len());
+    if stream.read_exact(start).is_err() || start[0] == b'$' && stream.read_exact(rest).is_err() {
+        return false;
+    }
+    assert_eq!(String::from_utf8_lossy(&got), want);
+    true
+}
+
+fn connect(address: &str) -> TcpStream {
+    let stream = TcpStream::connect(address).expect("nobody is refused");
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream
+}
+
+/// Clients that ask without a pause until told to stop.
+struct Clients {
+    stop: Arc<AtomicBool>,
+    answered: Arc<AtomicUsize>,
+    lost: Arc<Mutex<Vec<String>>>,
+    threads: Vec<std::thread::JoinHandle<()>>,
+}
+
+impl Clients {
+    /// Two that ask once on a connection, two that keep theirs until the program ends it.
+    fn start(address: &str) -> Self {
+        let (stop, answered): (Arc<AtomicBool>, Arc<AtomicUsize>) = Default::default();
+        let lost: Arc<Mutex<Vec<String>>> = Default::default();
+        let threads = (0..4).map(|client| {
+            let (address, stop) = (address.to_string(), stop.clone());
+            let (answered, lost) = (answered.clone(), lost.clone());
+            std::thread::spawn(move || {
+                let mut kept = None;
+                for n in 0.. {
+                    if stop.load(Ordering::Relaxed) {
+                        return;
+                    }
+                    let id = format!("{client}-{n:08}");
+                    let used: Option<TcpStream> = kept.take();
+                    let fresh = used.is_none();
+                    let mut stream = used.unwrap_or_else(|| connect(&address));
+                    // A kept connection may end between two requests: the one that crosses that is asked again.
+                    let mut done = ask(&mut stream, &id);
+                    if !done && !fresh {
+                        stream = connect(&address);
+                        done = ask(&mut stream, &id);
+                    }
+                    if done {
+                        answered.fetch_add(1, Ordering::Relaxed);
+                        kept = (client < 2).then_some(stream);
+                    } else {
+                        lost.lock().unwrap().push(id);
+                    }
+                }
+            })
+        });
+        let threads = threads.collect();
+        Clients { stop, answered, lost, threads }
+    }
+
+    /// Waits until this many more have been answered.
+    fn wait(&self, more: usize) {
+        let until = self.answered.load(Ordering::Relaxed) + more;
+        let asked = Instant::now();
+        while self.answered.load(Ordering::Relaxed) < until {
+            assert!(asked.elapsed() < PATIENCE, "no answers");
+            assert!(self.threads.iter().all(|t| !t.is_finished()), "a client has failed");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    /// The requests that were not answered.
+    fn end(mut self) -> Vec<String> {
+        self.stop.store(true, Ordering::Relaxed);
+        for thread in self.threads.drain(..) {
+            thread.join().expect("a client has failed");
+        }
+        std::mem::take(&mut self.lost.lock().unwrap())
+    }
+}
+
+#[test]
+fn a_new_version_takes_over_and_no_request_is_lost() {
+    let stage = Stage::set("over");
+    let mut old = stage.start();
+    old.wait_ready();
+    let clients = Clients::start(&stage.address);
+    clients.wait(200);
+    for _ in 0..2 {
+        let new = stage.start();
+        new.wait_ready();
+        old.wait_log("bytes of notes left for");
+        new.wait_log("notes of the other process: list 41, 41 is known");
+        clients.wait(50);
+        old.signal("TERM");
+        assert!(old.child.wait().unwrap().success(), "it leaves by itself");
+        clients.wait(200);
+        new.wait_log("another process of this balancer: false");
+        old = new;
+    }
+    assert_eq!(clients.end(), Vec::<String>::new());
+}
+
+#[test]
+fn a_newcomer_that_is_killed_leaves_the_other_as_it_was() {
+    let stage = Stage::set("newcomer");
+    let old = stage.start();
+    old.wait_ready();
+    let clients = Clients::start(&stage.address);
+    // As soon as it has begun, and once both serve.
+    for ready in [false, true] {
+        let mut new = stage.start();
+        old.wait_log("another process of this balancer: true");
+        if ready {
+            new.wait_ready();
+            clients.wait(100);
+        }
+        new.child.kill().unwrap();
+        new.child.wait().unwrap();
+        old.wait_log("another process of this balancer: false");
+        clients.wait(200);
+    }
+    assert!(old.is_ready());
+    // What the killed one had taken was lost with it: at most one for each client.
+    assert!(clients.end().len() <= 4);
+}
+
+#[test]
+fn who_finds_the_other_killed_serves_alone() {
+    let stage = Stage::set("old");
+    let mut old = stage.start();
+    old.wait_ready();
+    let clients = Clients::start(&stage.address);
+    clients.wait(100);
+    let new = stage.start();
+    new.wait_ready();
+    old.child.kill().unwrap();
+    old.child.wait().unwrap();
+    new.wait_log("another process of this balancer: false");
+    clients.wait(200);
+    assert!(clients.end().len() <= 4);
+}
+
+#[test]
+fn the_one_that_ends_takes_clients_itself_while_the_other_does_not_serve() {
+    let stage = Stage::set("drained");
+    let mut old = stage.start();
+    old.wait_ready();
+    let new = stage.start();
+    new.wait_ready();
+    let mut call = TcpStream::connect(&new.management).unwrap();
+    call.write_all(b"POST /admin/quiesce HTTP/1.1\r\n\r\n").unwrap();
+    let mut text = String::new();
+    call.read_to_string(&mut text).unwrap();
+    assert!(text.ends_with("{\"state\":\"quiesced\"}\n"), "{text}");
+    assert!(ask(&mut connect(&stage.address), "1"));
+    old.signal("TERM");
+    old.wait_log("asked to stop");
+    assert!(ask(&mut connect(&stage.address), "2"));
+    assert!(old.child.wait().unwrap().success());
+    assert!(ask(&mut connect(&stage.address), "3"), "drained, it still serves who comes");
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -995,8 +995,10 @@
     }
 }
 
+mod learnt;
 mod plumbing;
 mod why;
+pub use learnt::Learnt;
 
 #[cfg(test)]
 mod tests;
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-fn settings() -> Settings {
+pub(super) fn settings() -> Settings {
     Settings {
         classes: vec![Class {
             effect: Effect::Safe,
@@ -37,7 +37,7 @@
     }
 }
 
-fn brain(servers: u64) -> Brain {
+pub(super) fn brain(servers: u64) -> Brain {
     let mut brain = Brain::new(settings(), 1, 0).expect("settings make sense");
     let entries = (1..=servers).map(|i| Entry { server: ServerId(i), weight: 1.0, ..Entry::default() });
     brain.on_list(ListScope::Whole, entries.collect());
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -31,6 +31,18 @@
         self.t = Self::upper_edge(&self.buckets, self.quantile);
     }
 
+    /// Takes over the record of another; false if it is none.
+    pub(crate) fn recall(&mut self, buckets: &[f64], samples: u64) -> bool {
+        if buckets.len() != BUCKETS || buckets.iter().any(|b| !(0.0..1e9).contains(b)) {
+            return false;
+        }
+        if buckets.iter().sum::<f64>() > 0.0 {
+            self.buckets.copy_from_slice(buckets);
+            (self.samples, self.t) = (samples, Self::upper_edge(&self.buckets, self.quantile));
+        }
+        true
+    }
+
     /// Upper edge of the bucket in which the quantile lies.
     fn upper_edge(buckets: &[f64], q: f64) -> Nanos {
         let mut left = buckets.iter().sum::<f64>() * q;
@@ -57,7 +69,17 @@
     samples: f64,
 }
 
+/// A mean as it is handed over.
+pub(crate) type MeanParts = [f64; 3];
+
 impl Mean {
+    pub(crate) fn parts(&self) -> MeanParts {
+        [self.now, self.base, self.samples]
+    }
+    pub(crate) fn of([now, base, samples]: MeanParts) -> Self {
+        Mean { now, base, samples }
+    }
+
     /// Takes a sample with this weight. The unloaded mean is the least mean, but of the first samples all count
     /// alike and none is a yardstick yet: one lucky quick answer would make all later ones look slow. It creeps
     /// up, to forget a low.
@@ -89,6 +111,10 @@
         self.count = self.per_s(now) * self.tau / 1e9 + 1.0;
         self.at = now;
     }
+    /// From now on it is as if this many a second had come for long.
+    pub(crate) fn set_per_s(&mut self, now: Nanos, per_s: f64) {
+        (self.count, self.at) = (per_s * self.tau / 1e9, now);
+    }
     pub(crate) fn per_s(&self, now: Nanos) -> f64 {
         self.count * (-(now.saturating_sub(self.at) as f64) / self.tau).exp() * 1e9 / self.tau
     }
