Pass long values on as they come, and time a slow command from its first byte

resp.rs took no value over 1 MiB, and peers.rs answered only when all was there. passing.rs tells a long value from its first bytes; peers.rs hands it on in parts, the front holds 64 KiB of it at most and has the cache wait. RespFront::read: the time of a command counted from the end of the one before, also over a pause; now from its first byte, and it is 2.6 s.

--- a/balancer/src/counters.rs
+++ b/balancer/src/counters.rs
@@ -129,6 +129,10 @@
     spoilt,
     /// Of these, for standing still before their end.
     stalled,
+    /// Long values passed on as they came.
+    passed_on,
+    /// Of these, broken off by the cache: the client's connection was ended.
+    broken_off,
     /// Tries and probes without a place for another connection.
     no_place,
     /// Of these, for saying nothing, or half a command, for too long.
--- a/balancer/src/event_loop.rs
+++ b/balancer/src/event_loop.rs
@@ -310,8 +310,18 @@
                     self.tries.take(now, incoming);
                 }
                 FrontEvent::Gone(request) => {
-                    self.tries.gone(request);
-                    self.news.push(Event::Gone(request));
+                    if let Some(job) = self.tries.passing_try(request) {
+                        self.tries.passed(request);
+                        self.peers.abandon(job, &mut self.counters);
+                    } else {
+                        self.tries.gone(request);
+                        self.news.push(Event::Gone(request));
+                    }
+                }
+                FrontEvent::Room(request) => {
+                    if let Some(job) = self.tries.passing_try(request) {
+                        self.peers.pause(now, job, false, &mut self.timers);
+                    }
                 }
             }
         }
@@ -336,16 +346,64 @@
 
     fn peer_events(&mut self, now: Nanos, events: Vec<PeerEvent>) {
         for event in events {
-            if let Job::Try(request, attempt) = event.job {
-                self.timers.cancel(Due::Try(request, attempt));
+            match event {
+                PeerEvent::Begun { job, length } => self.begun(now, job, length),
+                PeerEvent::Part { job, bytes } => self.part(now, job, &bytes),
+                PeerEvent::End { job, end } => self.job_ended(now, job, end),
             }
-            self.counters.no_place += u64::from(event.end == JobEnd::NoPlace);
-            let (event, answer) = self.tries.finished(now, event, &mut self.counters);
-            self.news.extend(event);
-            if let Some(answer) = answer {
+        }
+    }
+
+    fn job_ended(&mut self, now: Nanos, job: Job, end: JobEnd) {
+        if let Job::Try(request, attempt) = job {
+            self.timers.cancel(Due::Try(request, attempt));
+            if let Some(connection) = self.tries.passing((request, attempt)) {
+                self.tries.passed(request);
+                let whole = matches!(end, JobEnd::Answer(_));
+                self.counters.broken_off += u64::from(!whole);
+                let mut events = Vec::new();
+                self.front.finish(connection, request, whole, now, &mut events, &mut self.counters);
+                return self.front_events(now, events);
+            }
+        }
+        self.counters.no_place += u64::from(end == JobEnd::NoPlace);
+        let (event, answer) = self.tries.finished(now, job, end, &mut self.counters);
+        self.news.extend(event);
+        if let Some(answer) = answer {
+            self.answer(now, answer);
+        }
+    }
+
+    /// A long value has begun to come.
+    fn begun(&mut self, now: Nanos, job: Job, length: usize) {
+        let Job::Try(request, attempt) = job else { return };
+        self.timers.cancel(Due::Try(request, attempt));
+        match self.tries.begun(now, (request, attempt), length, &mut self.counters) {
+            Some((event, answer)) => {
+                self.news.push(event);
                 self.answer(now, answer);
             }
+            // Another try has answered, or the client has left.
+            None => {
+                self.peers.abandon(job, &mut self.counters);
+                let outcome = Outcome::Cancelled;
+                self.news.extend(self.tries.give_up(now, request, attempt, outcome, &mut self.counters));
+            }
+        }
+    }
+
+    /// Passes on the next bytes of a long value, and stops reading its cache while the client can't take more.
+    fn part(&mut self, now: Nanos, job: Job, bytes: &[u8]) {
+        let Job::Try(request, attempt) = job else { return };
+        let Some(connection) = self.tries.passing((request, attempt)) else { return };
+        self.front.part(connection, request, bytes);
+        let mut events = Vec::new();
+        self.front.flush(connection, now, &mut events, &mut self.counters);
+        let tight = self.tries.held() + self.front.buffered() > self.memory;
+        if self.front.holds_back(connection, request, tight) {
+            self.peers.pause(now, job, true, &mut self.timers);
         }
+        self.front_events(now, events);
     }
 
     fn group_events(&mut self, events: Vec<GroupEvent>) {
@@ -580,7 +638,7 @@
 
     fn answer(&mut self, now: Nanos, (ticket, answer): Answer) {
         match answer {
-            FinalAnswer::Served(_) => self.counters.served += 1,
+            FinalAnswer::Served(_) | FinalAnswer::Coming(_) => self.counters.served += 1,
             FinalAnswer::Refused { .. } => self.counters.refused += 1,
             FinalAnswer::Failed | FinalAnswer::Invalid(_) => self.counters.failed += 1,
         }
--- a/balancer/src/front/resp.rs
+++ b/balancer/src/front/resp.rs
@@ -14,6 +14,8 @@
 
 /// Commands of one connection that may wait for their answers; the next ones stay unread.
 const OWED_MAX: usize = 128;
+/// While this much of a long value waits for its client, its cache isn't read.
+const WINDOW: usize = 64 * 1024;
 /// A connection with more than this still to be written gets no further command read.
 const UNSENT_MAX: usize = 2 * VALUE_MAX;
 /// One read takes at most this much.
@@ -24,8 +26,9 @@
 const ACCEPT_MAX: usize = 64;
 /// A client that takes none of its answer for this long is given up.
 const STUCK: Nanos = 10_000 * MS;
-/// A command, the first one included, must be whole this long after it could have begun.
-const UNFINISHED: Nanos = 2_000 * MS;
+/// A command, the first one included, must be whole this long after it could have begun: some clients take 2 s, and who says
+/// nothing is to be told within 3 s.
+const UNFINISHED: Nanos = 2_600 * MS;
 /// A connection with nothing open is closed after this ...
 const IDLE: Nanos = 10_000 * MS;
 /// ... or, with more than half of the places taken, after this.
@@ -51,12 +54,22 @@
     Request(Incoming),
     /// The client of this request has left.
     Gone(RequestId),
+    /// More of this request's value can be taken.
+    Room(RequestId),
 }
 
 /// An answer that is owed on a connection, or has come but waits for those before it.
 enum Place {
     Waiting(RequestId),
     Answered(Vec<u8>),
+    /// The value comes in parts.
+    Coming {
+        request: RequestId,
+        /// What has come and is not with the rest of the output yet.
+        bytes: Vec<u8>,
+        /// Its cache isn't read until there is room.
+        held_back: bool,
+    },
 }
 
 struct ClientConnection {
@@ -135,7 +148,10 @@
 
     /// Bytes held for clients, unread and unsent.
     pub fn buffered(&self) -> usize {
-        let answered = |p: &Place| if let Place::Answered(bytes) = p { bytes.len() } else { 0 };
+        let answered = |p: &Place| match p {
+            Place::Answered(bytes) | Place::Coming { bytes, .. } => bytes.len(),
+            Place::Waiting(_) => 0,
+        };
         let of =
             |c: &ClientConnection| c.input.len() + c.unsent() + c.places.iter().map(answered).sum::<usize>();
         self.connections.values().map(of).sum()
@@ -250,6 +266,10 @@
         match c.stream.socket().read(&mut self.scratch[..most]) {
             Ok(0) => self.remove(number, counters, events),
             Ok(n) => {
+                if c.spoken && c.input.is_empty() {
+                    // A connection may stand idle between commands; a command's time begins with its first byte.
+                    c.since = now;
+                }
                 c.input.extend_from_slice(&self.scratch[..n]);
                 c.active = now;
                 self.parse(number, now, events, counters);
@@ -291,6 +311,7 @@
                 }
                 Err(e) => {
                     // Where the next command begins is not known: answer, then close.
+                    log::debug!("client connection {number}: {e}");
                     counters.malformed += 1;
                     c.places.push_back(Place::Answered(error(&format!("ERR {e}"))));
                     c.last = true;
@@ -311,7 +332,65 @@
         let Some(c) = self.connections.get_mut(&ticket.connection) else { return };
         let waiting = |p: &&mut Place| matches!(p, Place::Waiting(id) if *id == ticket.request);
         if let Some(place) = c.places.iter_mut().find(waiting) {
-            *place = Place::Answered(encode(answer));
+            *place = match answer {
+                FinalAnswer::Coming(_) => {
+                    Place::Coming { request: ticket.request, bytes: encode(answer), held_back: false }
+                }
+                answer => Place::Answered(encode(answer)),
+            };
+        }
+    }
+
+    fn coming(&mut self, connection: u64, wanted: RequestId) -> Option<(&mut Vec<u8>, &mut bool)> {
+        self.connections.get_mut(&connection)?.places.iter_mut().find_map(|place| match place {
+            Place::Coming { request, bytes, held_back } if *request == wanted => Some((bytes, held_back)),
+            _ => None,
+        })
+    }
+
+    /// The next bytes of a value that comes in parts.
+    pub fn part(&mut self, connection: u64, request: RequestId, part: &[u8]) {
+        if let Some((bytes, _)) = self.coming(connection, request) {
+            bytes.extend_from_slice(part);
+        }
+    }
+
+    /// Whether the cache of this value is not to be read until there is room: as soon as anything waits where memory is
+    /// `tight`. [`FrontEvent::Room`] tells when.
+    pub fn holds_back(&mut self, connection: u64, request: RequestId, tight: bool) -> bool {
+        let Some(c) = self.connections.get(&connection) else { return false };
+        let first =
+            matches!(c.places.front(), Some(Place::Coming { request: first, .. }) if *first == request);
+        let before = if first { c.unsent() } else { 0 };
+        let Some((bytes, held_back)) = self.coming(connection, request) else { return false };
+        let waits = before + bytes.len();
+        *held_back = waits >= WINDOW || tight && waits > 0;
+        *held_back
+    }
+
+    /// A value that came in parts is through, or has broken off: then the connection ends, so that the client can tell.
+    pub fn finish(
+        &mut self,
+        connection: u64,
+        request: RequestId,
+        whole: bool,
+        now: Nanos,
+        events: &mut Vec<FrontEvent>,
+        counters: &mut Counters,
+    ) {
+        let Some((bytes, _)) = self.coming(connection, request) else { return };
+        let mut bytes = std::mem::take(bytes);
+        bytes.extend_from_slice(if whole { b"\r\n" } else { b"" });
+        let Some(c) = self.connections.get_mut(&connection) else { return };
+        let place =
+            c.places.iter_mut().find(|p| matches!(p, Place::Coming { request: r, .. } if *r == request));
+        if let Some(place) = place {
+            *place = Place::Answered(bytes);
+        }
+        if whole {
+            self.flush(connection, now, events, counters)
+        } else {
+            self.remove(connection, counters, events)
         }
     }
 
@@ -326,6 +405,10 @@
                 // The client's next command is not late for what it had to wait.
                 c.since = now;
             }
+            if let Some(Place::Coming { bytes, .. }) = c.places.front_mut() {
+                c.output.drain(..std::mem::take(&mut c.written));
+                c.output.append(bytes);
+            }
             while c.unsent() > 0 {
                 match c.stream.socket().write(&c.output[c.written..]) {
                     Ok(0) => return self.remove(number, counters, events),
@@ -341,6 +424,14 @@
             if c.unsent() == 0 {
                 (c.output, c.written) = (Vec::new(), 0);
             }
+            let unsent = c.unsent();
+            if let Some(Place::Coming { request, held_back, .. }) = c.places.front_mut()
+                && *held_back
+                && unsent == 0
+            {
+                *held_back = false;
+                events.push(FrontEvent::Room(*request));
+            }
             let done = c.last || self.stance.closes_idle && c.input.is_empty();
             if done && c.places.is_empty() && c.unsent() == 0 {
                 if c.last {
@@ -373,7 +464,7 @@
         let Some(c) = self.connections.remove(&number) else { return };
         counters.clients_closed += 1;
         for place in c.places {
-            if let Place::Waiting(request) = place {
+            if let Place::Waiting(request) | Place::Coming { request, .. } = place {
                 counters.gone += 1;
                 events.push(FrontEvent::Gone(request));
             }
@@ -566,6 +657,8 @@
             resp::write_bulk(&mut out, &value);
             out
         }
+        // The value itself comes in parts.
+        FinalAnswer::Coming(length) => format!("${length}\r\n").into_bytes(),
         FinalAnswer::Refused { retry_after: 0 } => error("BUSY"),
         FinalAnswer::Refused { retry_after } => error(&format!("BUSY {}", retry_after.div_ceil(MS))),
         FinalAnswer::Failed => error("ERR failed"),
@@ -644,6 +737,23 @@
         assert_eq!((front.connections.len(), counters.clients_idle), (0, 1), "crowded");
     }
 
+    #[test]
+    fn a_command_that_comes_slowly_has_its_time_from_its_first_byte() {
+        let (mut front, connect) = front(9);
+        let (mut counters, mut events) = (Counters::default(), Vec::new());
+        let mut client = connect();
+        front.accept(0, &mut counters);
+        let ready = Ready { source: Source::Client(0), readable: true, writable: false };
+        client.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+        front.ready(0, ready, &mut events, &mut counters);
+        client.write_all(b"*1\r\n$4").unwrap();
+        front.ready(UNFINISHED - 1, ready, &mut events, &mut counters);
+        for (now, open) in [(2 * UNFINISHED - 2, true), (2 * UNFINISHED - 1, false)] {
+            front.sweep(now, &mut events, &mut counters);
+            assert_eq!(front.connections.len(), usize::from(open), "{now}");
+        }
+    }
+
     #[test]
     fn in_a_crowd_those_that_are_idle_longest_are_closed_and_the_last_used_stay() {
         let (mut front, connect) = front(10);
@@ -740,4 +850,79 @@
         endless.read_to_string(&mut text).unwrap();
         assert_eq!(text, "-ERR failed\r\n".repeat(2));
     }
+
+    /// A front with two requests taken on one connection, and that connection.
+    fn two_requests() -> (RespFront, TcpStream, Vec<Ticket>, Counters) {
+        let (mut front, connect) = front(9);
+        let (mut counters, mut events) = (Counters::default(), Vec::new());
+        let mut client = connect();
+        front.accept(0, &mut counters);
+        let command = resp::write_command(&[b"C.GET", b"a", b"1", b"c=read,d=9"]);
+        client.write_all(&command.repeat(2)).unwrap();
+        let ready = Ready { source: Source::Client(0), readable: true, writable: false };
+        front.ready(0, ready, &mut events, &mut counters);
+        let tickets = events.into_iter().map(|event| match event {
+            FrontEvent::Request(incoming) => incoming.ticket,
+            other => panic!("{other:?}"),
+        });
+        let tickets = tickets.collect();
+        (front, client, tickets, counters)
+    }
+
+    #[test]
+    fn an_answer_behind_a_long_one_waits_and_one_before_it_goes_first() {
+        let (mut front, mut client, mut tickets, mut counters) = two_requests();
+        let (second, first) = (tickets.pop().unwrap(), tickets.pop().unwrap());
+        let (one, two) = (first.request, second.request);
+        let mut events = Vec::new();
+        // The second comes while the first is still out: what of it there is room for waits.
+        front.answer(second, FinalAnswer::Coming(WINDOW + 1));
+        front.part(0, two, &[b'y'; WINDOW - 20]);
+        assert!(!front.holds_back(0, two, false) && front.holds_back(0, two, true));
+        front.part(0, two, &[b'y'; 21]);
+        assert!(front.holds_back(0, two, false));
+        front.flush(0, 1, &mut events, &mut counters);
+        front.finish(0, two, true, 1, &mut events, &mut counters);
+        front.answer(first, FinalAnswer::Coming(3));
+        front.part(0, one, b"x");
+        front.flush(0, 1, &mut events, &mut counters);
+        assert!(!front.holds_back(0, one, true), "nothing waits for it");
+        front.part(0, one, b"xx");
+        front.finish(0, one, true, 1, &mut events, &mut counters);
+        let want =
+            [b"$3\r\nxxx\r\n", format!("${}\r\n", WINDOW + 1).as_bytes(), &[b'y'; WINDOW + 1], b"\r\n"]
+                .concat();
+        let mut got = vec![0; want.len()];
+        client.read_exact(&mut got).unwrap();
+        assert!(got == want && front.connections[&0].is_idle());
+    }
+
+    #[test]
+    fn a_cache_waits_for_a_client_that_does_not_read_and_goes_on_when_it_does() {
+        let (mut front, mut client, mut tickets, mut counters) = two_requests();
+        let first = tickets.remove(0);
+        let (request, mut events) = (first.request, Vec::new());
+        const LENGTH: usize = 64 << 20;
+        front.answer(first, FinalAnswer::Coming(LENGTH));
+        let mut sent = 0;
+        while !front.holds_back(0, request, false) {
+            front.part(0, request, &[b'x'; READ_SIZE]);
+            front.flush(0, 1, &mut events, &mut counters);
+            sent += READ_SIZE;
+            assert!(sent < LENGTH, "the sockets' buffers are smaller");
+        }
+        assert!(front.buffered() <= WINDOW + READ_SIZE, "what one long value holds");
+        client.set_nonblocking(true).unwrap();
+        let ready = Ready { source: Source::Client(0), readable: false, writable: true };
+        while events.is_empty() {
+            while matches!(client.read(&mut [0; READ_SIZE]), Ok(n) if n > 0) {}
+            front.ready(2, ready, &mut events, &mut counters);
+        }
+        assert!(matches!(events[..], [FrontEvent::Room(r)] if r == request));
+        assert_eq!(front.buffered(), 0);
+        // The cache breaks off: the client must be able to tell, and the request behind has nobody to wait for.
+        events.clear();
+        front.finish(0, request, false, 3, &mut events, &mut counters);
+        assert!(front.is_empty() && matches!(events[..], [FrontEvent::Gone(r)] if r != request));
+    }
 }
--- a/balancer/src/main.rs
+++ b/balancer/src/main.rs
@@ -10,6 +10,7 @@
 mod front;
 mod hand_over;
 mod life_cycle;
+mod passing;
 mod peers;
 mod poll;
 mod request;
--- a/balancer/src/peers.rs
+++ b/balancer/src/peers.rs
@@ -2,8 +2,9 @@
 //! that giving a job up (by closing) takes no other with it and no answer waits for a slower one before it.
 
 use crate::counters::Counters;
+use crate::passing::{Passing, is_long};
 use crate::poll::{Poll, Ready, Source, Watched, connect, is_silent};
-use crate::resp::{ANSWER_MAX, Answer, Reply, RespError, read_answer, read_reply};
+use crate::resp::{Answer, Reply, RespError, read_answer, read_reply};
 use crate::timers::{Due, MS, Timers};
 use finchyard::{AttemptNo, Nanos, RequestId, ServerId};
 use std::collections::{BTreeMap, HashMap};
@@ -21,6 +22,10 @@
 /// An answer that has begun and then stands still for this long has ended short: caches send an answer whole, and its
 /// parts follow each other within a round trip.
 const STALL: Nanos = 40 * MS;
+/// The same for a long value of which nothing has been passed on yet: it may come slowly.
+const STALL_LONG: Nanos = 500 * MS;
+/// The same once something has been passed on: no other try can take its place.
+const STALL_PASSING: Nanos = 5_000 * MS;
 
 /// What a connection is used for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -60,13 +65,30 @@
     NoPlace,
 }
 
-/// The end of a job.
-#[derive(Debug)]
-pub struct PeerEvent {
-    /// Which job.
-    pub job: Job,
-    /// How it ended.
-    pub end: JobEnd,
+/// What becomes of a job.
+#[derive(Debug, PartialEq, Eq)]
+pub enum PeerEvent {
+    /// It is over.
+    End {
+        /// Which job.
+        job: Job,
+        /// How it ended.
+        end: JobEnd,
+    },
+    /// A long value has begun to come; its parts follow, and the end of the job.
+    Begun {
+        /// Which job.
+        job: Job,
+        /// The value's length in bytes.
+        length: usize,
+    },
+    /// The next bytes of a long value.
+    Part {
+        /// Which job.
+        job: Job,
+        /// The bytes.
+        bytes: Vec<u8>,
+    },
 }
 
 enum State {
@@ -91,8 +113,12 @@
     input: Vec<u8>,
     /// How many jobs it has carried, the one at hand included.
     jobs: u32,
-    /// When something came last.
+    /// When something came last, or could have: a connection that isn't read is not still.
     came: Nanos,
+    /// The long value that is passed on.
+    passing: Option<Passing>,
+    /// It is not read, for the client can't take more.
+    paused: bool,
 }
 
 impl PeerConnection {
@@ -103,6 +129,15 @@
         }
     }
 
+    /// For how long an answer that has begun may stand still.
+    fn stall(&self) -> Nanos {
+        match &self.passing {
+            Some(_) => STALL_PASSING,
+            None if is_long(&self.input) => STALL_LONG,
+            None => STALL,
+        }
+    }
+
     /// How the job at hand ends when the connection breaks now.
     fn broken(&self) -> JobEnd {
         if self.written < self.output.len() { JobEnd::NeverSent } else { JobEnd::Broken }
@@ -221,7 +256,7 @@
                     Ok(stream) => stream,
                     Err(e) => {
                         log::warn!("connection to a peer: {e}");
-                        return events.push(PeerEvent { job, end: JobEnd::NoPlace });
+                        return events.push(PeerEvent::End { job, end: JobEnd::NoPlace });
                     }
                 };
                 self.next_connection += 1;
@@ -236,13 +271,15 @@
                     input: Vec::new(),
                     jobs: 1,
                     came: now,
+                    passing: None,
+                    paused: false,
                 };
                 self.connections.insert(number, c);
                 self.jobs.insert(job, number);
                 self.peers.entry(server).or_default().connections += 1;
                 timers.set(until.min(now + self.connect_timeout), Due::Connect(number));
             }
-            Err(end) => events.push(PeerEvent { job, end }),
+            Err(end) => events.push(PeerEvent::End { job, end }),
         }
     }
 
@@ -324,13 +361,31 @@
         events: &mut Vec<PeerEvent>,
         counters: &mut Counters,
     ) {
-        let stalls = |c: &PeerConnection| c.job().is_some() && !c.input.is_empty() && now >= c.came + STALL;
-        if self.connections.get(&number).is_some_and(stalls) {
+        let Some(c) = self.connections.get(&number).filter(|c| c.job().is_some() && !c.paused) else {
+            return;
+        };
+        let begun = c.passing.is_some() || !c.input.is_empty();
+        if begun && now >= c.came + c.stall() {
             counters.stalled += 1;
             self.end(number, JobEnd::Spoilt, events, counters);
         }
     }
 
+    /// Whether the answer to this job is read on: not while the client can't take more of it.
+    pub fn pause(&mut self, now: Nanos, job: Job, pause: bool, timers: &mut Timers) {
+        let Some(number) = self.jobs.get(&job).copied() else { return };
+        let Some(c) = self.connections.get_mut(&number).filter(|c| c.paused != pause) else { return };
+        if let Err(e) = c.stream.interest(!pause, false) {
+            // It is read on: better a longer buffer than an answer that never ends.
+            return log::warn!("connection to a peer: {e}");
+        }
+        c.paused = pause;
+        c.came = now;
+        if !pause {
+            timers.set(now + c.stall(), Due::Stall(number));
+        }
+    }
+
     /// Reads and writes what a connection is ready for.
     pub fn ready(
         &mut self,
@@ -407,10 +462,32 @@
             return self.end(number, JobEnd::Broken, events, counters);
         };
         let unwritten = c.written < c.output.len();
-        let (end, length) = match read_end(job, &c.input) {
-            Ok(None) if c.input.len() < ANSWER_MAX && self.coming <= self.coming_most => {
+        if c.passing.is_none()
+            && !unwritten
+            && matches!(job, Job::Try(..))
+            && let held = c.input.len()
+            && let Some((passing, length)) = Passing::begin(&mut c.input)
+        {
+            self.coming -= held - c.input.len();
+            c.passing = Some(passing);
+            events.push(PeerEvent::Begun { job, length });
+        }
+        let read = match &mut c.passing {
+            None => read_end(job, &c.input),
+            Some(passing) => {
+                let bytes = passing.part(&mut c.input);
+                self.coming -= bytes.len();
+                if !bytes.is_empty() {
+                    events.push(PeerEvent::Part { job, bytes });
+                }
+                passing.tail(&c.input).map(|t| t.map(|(answer, length)| (JobEnd::Answer(answer), length)))
+            }
+        };
+        let (end, length) = match read {
+            // The reader bounds each message; all that have begun are bounded together.
+            Ok(None) if self.coming <= self.coming_most => {
                 if !unwritten {
-                    timers.set(now + STALL, Due::Stall(number));
+                    timers.set(now + c.stall(), Due::Stall(number));
                 }
                 return;
             }
@@ -430,17 +507,18 @@
         self.coming -= c.input.len();
         c.state = State::Idle { since: now, turn: self.turn };
         (c.input, c.output, c.written) = (Vec::new(), Vec::new(), 0);
+        c.passing = None;
         self.jobs.remove(&job);
         if let Some(peer) = self.peers.get_mut(&c.server) {
             peer.idle.push(number);
         }
-        events.push(PeerEvent { job, end });
+        events.push(PeerEvent::End { job, end });
     }
 
     /// Closes a connection and says how its job ended.
     fn end(&mut self, number: u64, end: JobEnd, events: &mut Vec<PeerEvent>, counters: &mut Counters) {
         if let Some(job) = self.remove(number, counters) {
-            events.push(PeerEvent { job, end });
+            events.push(PeerEvent::End { job, end });
         }
     }
 
@@ -539,7 +617,11 @@
         }
 
         fn ends(&mut self) -> Vec<JobEnd> {
-            self.events.drain(..).map(|event| event.end).collect()
+            let end = |event| match event {
+                PeerEvent::End { end, .. } => Some(end),
+                _ => None,
+            };
+            self.events.drain(..).filter_map(end).collect()
         }
     }
 
@@ -596,7 +678,7 @@
             // Given up: whoever gave it up needs no telling.
             |s| {
                 s.peers.abandon(Job::Probe(1), &mut s.counters);
-                s.events.push(PeerEvent { job: Job::Probe(1), end: JobEnd::NeverSent });
+                s.events.push(PeerEvent::End { job: Job::Probe(1), end: JobEnd::NeverSent });
             },
         ];
         for late in cases {
@@ -671,4 +753,32 @@
         }
         assert_eq!((s.ends(), s.counters.peers_opened), (vec![JobEnd::NoPlace], 2));
     }
+
+    #[test]
+    fn a_long_value_is_passed_on_as_it_comes_and_stands_still_only_while_it_is_read() {
+        let mut s = stage();
+        let job = Job::Try(RequestId(1), AttemptNo(0));
+        let outgoing = Outgoing { job, server: SERVER, until: MS, command: b"one".to_vec() };
+        s.peers.dispatch(0, outgoing, &mut s.timers, &mut s.events, &mut s.counters);
+        let mut peer = s.peer.accept().unwrap().0;
+        s.ready(0);
+        peer.write_all(b"*3\r\n$70000\r\n").unwrap();
+        s.ready(0);
+        s.peers.stall_due(STALL_LONG - 1, 0, &mut s.events, &mut s.counters);
+        assert_eq!(s.events, [], "a long one may come slowly");
+        peer.write_all(&[b'x'; 5_000]).unwrap();
+        s.ready(0);
+        let part = PeerEvent::Part { job, bytes: vec![b'x'; 5_000] };
+        assert_eq!(s.events, [PeerEvent::Begun { job, length: 70_000 }, part]);
+        assert_eq!(s.peers.coming, 0, "what was passed on is not held");
+        s.events.clear();
+        s.peers.pause(0, job, true, &mut s.timers);
+        s.peers.stall_due(STALL_PASSING, 0, &mut s.events, &mut s.counters);
+        assert_eq!(s.events, [], "the client is waited for");
+        s.peers.pause(STALL_PASSING, job, false, &mut s.timers);
+        s.peers.stall_due(2 * STALL_PASSING - 1, 0, &mut s.events, &mut s.counters);
+        assert_eq!(s.events, []);
+        s.peers.stall_due(2 * STALL_PASSING, 0, &mut s.events, &mut s.counters);
+        assert_eq!((s.ends(), s.counters.stalled), (vec![JobEnd::Spoilt], 1));
+    }
 }
--- a/balancer/src/request.rs
+++ b/balancer/src/request.rs
@@ -54,6 +54,8 @@
 pub enum FinalAnswer {
     /// The value or receipt that a peer gave for this request.
     Served(Vec<u8>),
+    /// The same, of this length; the value comes in parts and may still break off.
+    Coming(usize),
     /// Turned away: trying again is harmless, after this long if it is not 0.
     Refused {
         /// The advice.
--- a/balancer/src/resp.rs
+++ b/balancer/src/resp.rs
@@ -8,9 +8,9 @@
 
 /// The longest value, by the protocol.
 pub const VALUE_MAX: usize = 64 * 1024;
-/// The longest value taken from a peer. The protocol says 64 KiB, but some days' caches answer with up to 400 KB; what
-/// claims to be longer than this is spoilt.
-pub const ANSWER_VALUE_MAX: usize = 1024 * 1024;
+/// The longest value taken from a peer, and passed on as it comes if it is over [`VALUE_MAX`]; what claims to be longer
+/// is spoilt.
+pub const ANSWER_VALUE_MAX: usize = 4 << 20;
 /// The longest text line: a status or an error.
 const LINE_MAX: usize = 1024;
 /// The longest number, with its sign.
@@ -27,8 +27,6 @@
 const DEPTH_MAX: usize = 3;
 /// Bytes by which the largest whole message is known to be under way and no longer.
 pub const MESSAGE_MAX: usize = 2 * VALUE_MAX;
-/// The same for an answer of a peer.
-pub const ANSWER_MAX: usize = ANSWER_VALUE_MAX + VALUE_MAX;
 
 /// Why a message can't be read, and so where the next one begins isn't known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -238,14 +236,47 @@
         return Err(RespError::Length);
     }
     let value = more!(reader.member(ANSWER_VALUE_MAX)).ok_or(RespError::Length)?;
-    let note = more!(reader.member(WORD_MAX));
-    let load = match reader.member(WORD_MAX) {
-        Ok(Some(load)) => Ok(load),
-        Ok(None) | Err(_) => Err(()),
-    };
-    let length = load.as_ref().ok().map(|_| reader.at);
-    let made = Answer::Made { value, note, load: load.unwrap_or_default() };
-    Ok(Some((made, length)))
+    let made = more!(reader.made(value));
+    Ok(Some(made))
+}
+
+/// Where the value of an answer begins and how long it says it is, once that much has come.
+pub fn read_long_start(input: &[u8]) -> Option<(usize, usize)> {
+    let mut reader = Reader { input, at: 0 };
+    let array = reader.start()? == b'*' && reader.count() == Ok(Some(Some(ANSWER_MEMBERS)));
+    if !array || reader.start()? != b'$' {
+        return None;
+    }
+    let length = reader.number().ok()??;
+    Some((reader.at, usize::try_from(length).ok()?))
+}
+
+/// Reads what stands behind a value that was passed on as it came, from its line end on.
+pub fn read_tail(input: &[u8]) -> Result<Option<(Answer, Option<usize>)>, RespError> {
+    let end = b"\r\n";
+    let come = input.len().min(end.len());
+    if input[..come] != end[..come] {
+        return Err(RespError::End);
+    }
+    if come < end.len() {
+        return Ok(None);
+    }
+    Reader { input, at: end.len() }.made(Vec::new())
+}
+
+impl Reader<'_> {
+    /// The rest of an answer behind its value: the note, and the report if it can be read.
+    fn made(&mut self, value: Vec<u8>) -> Result<Option<(Answer, Option<usize>)>, RespError> {
+        let reader = self;
+        let note = more!(reader.member(WORD_MAX));
+        let load = match reader.member(WORD_MAX) {
+            Ok(Some(load)) => Ok(load),
+            Ok(None) | Err(_) => Err(()),
+        };
+        let length = load.as_ref().ok().map(|_| reader.at);
+        let made = Answer::Made { value, note, load: load.unwrap_or_default() };
+        Ok(Some((made, length)))
+    }
 }
 
 /// Reads a reply; with it comes its length.
--- a/balancer/src/tries.rs
+++ b/balancer/src/tries.rs
@@ -2,7 +2,7 @@
 //! the module's outcomes. Nothing is sent again from here; tries are the module's.
 
 use crate::counters::Counters;
-use crate::peers::{Job, JobEnd, Outgoing, PeerEvent};
+use crate::peers::{Job, JobEnd, Outgoing};
 use crate::request::{FinalAnswer, Incoming, RequestContext, Ticket, Try};
 use crate::resp::{Answer as PeerAnswer, Reply, write_command};
 use crate::timers::MS;
@@ -20,6 +20,8 @@
     ids: HashSet<Vec<u8>>,
     probes: HashMap<u64, ServerId>,
     next_probe: u64,
+    /// Long values on their way to clients, the answer to which client connection, and from which try.
+    passing: HashMap<RequestId, (u64, AttemptNo)>,
     /// Bytes of all contexts.
     held: usize,
 }
@@ -49,6 +51,40 @@
         self.contexts.insert(id, RequestContext::new(incoming.ticket, incoming.order, deadline));
     }
 
+    /// A long value has begun to come: it is the request's answer, unless there is one. The cache has done its work, so the
+    /// module is told of the success now; how long the rest takes is the client's pace too.
+    pub fn begun(
+        &mut self,
+        now: Nanos,
+        (request, attempt): (RequestId, AttemptNo),
+        length: usize,
+        counters: &mut Counters,
+    ) -> Option<(Event, Answer)> {
+        let ticket = self.contexts.get_mut(&request)?.owed.take()?;
+        let event = self.give_up(now, request, attempt, Outcome::Ok, counters)?;
+        counters.passed_on += 1;
+        self.passing.insert(request, (ticket.connection, attempt));
+        Some((event, (ticket, FinalAnswer::Coming(length))))
+    }
+
+    /// The client connection to which this try's value is on its way.
+    pub fn passing(&self, (request, attempt): (RequestId, AttemptNo)) -> Option<u64> {
+        self.passing
+            .get(&request)
+            .filter(|(_, passing)| *passing == attempt)
+            .map(|(connection, _)| *connection)
+    }
+
+    /// The try whose value is on its way for this request.
+    pub fn passing_try(&self, request: RequestId) -> Option<Job> {
+        self.passing.get(&request).map(|(_, attempt)| Job::Try(request, *attempt))
+    }
+
+    /// The value is through, broken off or not wanted any more.
+    pub fn passed(&mut self, request: RequestId) {
+        self.passing.remove(&request);
+    }
+
     /// The client has left: nothing is owed any more.
     pub fn gone(&mut self, request: RequestId) {
         if let Some(context) = self.contexts.get_mut(&request) {
@@ -143,7 +179,8 @@
     pub fn finished(
         &mut self,
         now: Nanos,
-        PeerEvent { job, end }: PeerEvent,
+        job: Job,
+        end: JobEnd,
         counters: &mut Counters,
     ) -> (Option<Event>, Option<Answer>) {
         let (request, attempt) = match job {
