In a full house the idle make room after 20 ms, and halves that stand still after a second

Ruled out: tries (8,600 of 8,700 served, 58 held), memory, restarts.

RespFront::make_room: idle connections made room after 100 ms, or after 2 s where a quarter were "mute", which counted halves; a half never did. Now 20 ms, a half after standing still for a second, and mute is only who has sent nothing.

--- a/balancer/src/front/resp.rs
+++ b/balancer/src/front/resp.rs
@@ -38,10 +38,15 @@
 /// Beyond this part of the places, in hundredths, those that are idle longest are closed. Clients that ask once on a
 /// connection and keep it have a limit of their own: while they wait for the end of old ones they can't ask anew.
 const CROWD: usize = 40;
-/// A connection that stands idle this long may be closed for a newcomer ...
+/// A connection that stands idle this long may be closed in a crowd ...
 const IDLE_LEAST: Nanos = 100 * MS;
+/// ... and for a newcomer when all places are taken, after this, those idle longest first: what clients that ask once on a
+/// connection leave behind makes room at the pace at which they come.
+const IDLE_FULL: Nanos = 20 * MS;
 /// ... and one on which nothing ever came, after this.
 const MUTE_LEAST: Nanos = 20 * MS;
+/// Where none is idle, one on which half a command stands still for this long makes room: who is slow but goes on stays.
+const HALF_LEAST: Nanos = 1_000 * MS;
 /// With more than this part of the places taken by those, they alone make room for newcomers.
 const MUTE_PART: usize = 4;
 /// No client waits longer than this.
@@ -232,15 +237,25 @@
     /// waits to be read, is not idle: in a rush of newcomers each would be closed for the next, its request unread.
     /// Those on which nothing ever came go first, or clients that say nothing would push out those that do.
     fn make_room(&mut self, now: Nanos, counters: &mut Counters) -> bool {
-        let mute = self.connections.values().filter(|c| !c.spoken).count();
-        let spoken_least = if mute > self.most / MUTE_PART { IDLE_CROWDED } else { IDLE_LEAST };
-        let idle = self.connections.iter().filter(|(_, c)| {
-            let least = if c.spoken { spoken_least } else { MUTE_LEAST };
-            c.is_idle() && now.saturating_sub(c.active) >= least && is_silent(c.stream.socket())
-        });
-        let Some(number) = idle.min_by_key(|(_, c)| (c.spoken, c.active)).map(|(n, _)| *n) else {
-            return false;
+        let mute = self.connections.values().filter(|c| !c.spoken && c.input.is_empty()).count();
+        let spoken_least = if mute > self.most / MUTE_PART { IDLE_CROWDED } else { IDLE_FULL };
+        // In this order; whether something waits to be read is asked last, for it is a system call.
+        let rank = |c: &ClientConnection| {
+            let still = now.saturating_sub(c.active);
+            if !c.is_idle() {
+                (c.places.is_empty() && !c.input.is_empty() && still >= HALF_LEAST).then_some(2)
+            } else if c.spoken {
+                (still >= spoken_least).then_some(1)
+            } else {
+                (still >= MUTE_LEAST).then_some(0)
+            }
         };
+        let ranked = self.connections.iter().filter_map(|(n, c)| Some((rank(c)?, c.active, *n)));
+        let mut ranked: Vec<(u8, Nanos, u64)> = ranked.collect();
+        ranked.sort_unstable();
+        let silent = |n: &u64| self.connections.get(n).is_some_and(|c| is_silent(c.stream.socket()));
+        let number = ranked.into_iter().map(|(.., number)| number).find(silent);
+        let Some(number) = number else { return false };
         self.remove(number, counters, &mut Vec::new());
         true
     }
@@ -773,6 +788,38 @@
         assert_eq!(front.connections.keys().copied().collect::<Vec<_>>(), [2, 3, 4, 5]);
     }
 
+    #[test]
+    fn when_all_places_are_taken_the_idle_make_room_first_then_halves_that_stand_still() {
+        let (mut front, connect) = front(4);
+        let (mut counters, mut events) = (Counters::default(), Vec::new());
+        let mut clients: Vec<TcpStream> = (0..4).map(|_| connect()).collect();
+        front.accept(0, &mut counters);
+        front.connections.get_mut(&3).unwrap().places.push_back(Place::Waiting(RequestId(8)));
+        let mut say = |front: &mut RespFront, number: u64, now: Nanos, text: &[u8]| {
+            clients[number as usize].write_all(text).unwrap();
+            let ready = Ready { source: Source::Client(number), readable: true, writable: false };
+            front.ready(now, ready, &mut events, &mut Counters::default());
+        };
+        say(&mut front, 0, 0, b"*1\r\n");
+        say(&mut front, 1, 0, b"*1\r\n");
+        say(&mut front, 2, 0, b"*1\r\n$4\r\nPING\r\n");
+        let _more: Vec<TcpStream> = (0..3).map(|_| connect()).collect();
+        front.accept(IDLE_FULL - 1, &mut counters);
+        assert_eq!(counters.clients_closed, 0, "just answered");
+        front.pause(false);
+        front.accept(IDLE_FULL, &mut counters);
+        assert!(counters.clients_closed == 1 && !front.connections.contains_key(&2));
+        // The one goes on, if slowly; the other stands still, and so does the mute one that came.
+        say(&mut front, 0, IDLE_FULL + 1, b"$4\r\n");
+        front.pause(false);
+        front.accept(IDLE_FULL + MUTE_LEAST, &mut counters);
+        assert_eq!(front.connections.keys().copied().collect::<Vec<_>>(), [0, 1, 3, 5]);
+        front.connections.get_mut(&5).unwrap().places.push_back(Place::Waiting(RequestId(9)));
+        front.pause(false);
+        front.accept(HALF_LEAST, &mut counters);
+        assert_eq!(front.connections.keys().copied().collect::<Vec<_>>(), [0, 3, 5, 6]);
+    }
+
     #[test]
     fn a_hundred_commands_at_once_are_all_taken_without_waiting_for_answers() {
         let (mut front, connect) = front(9);
