--- a/balancer/src/event_loop.rs
+++ b/balancer/src/event_loop.rs
@@ -399,7 +399,8 @@
         self.front.part(connection, request, bytes);
         let mut events = Vec::new();
         self.front.flush(connection, now, &mut events, &mut self.counters);
-        let tight = self.tries.held() + self.front.buffered() > self.memory;
+        // At half of what would have requests refused: long values must not cause that.
+        let tight = self.tries.held() + self.front.buffered() > self.memory / 2;
         if self.front.holds_back(connection, request, tight) {
             self.peers.pause(now, job, true, &mut self.timers);
         }
