--- a/balancer/src/event_loop.rs
+++ b/balancer/src/event_loop.rs
@@ -1,5 +1,7 @@
 //! The loop: gather what is ready, hand it to the module in one go, carry out what came back.
 
+mod upgrade;
+
 use crate::config::Config;
 use crate::counters::{Counters, Step};
 use crate::decide::{Decide, phase, server_id};
@@ -8,21 +10,20 @@
 use crate::hand_over::HandOver;
 use crate::life_cycle::LifeCycle;
 use crate::peers::{Job, JobEnd, Outgoing, PeerEvent, Peers};
-use crate::poll::{Poll, Ready, Source, Watched, inherited};
+use crate::poll::{Poll, Ready, Source, Watched};
 use crate::request::{FinalAnswer, Incoming};
 use crate::resp::write_command;
 use crate::seats::Seats;
 use crate::timers::{Clock, Due, MS, Timers};
 use crate::tries::{Answer, Tries};
 use crate::upstream_group::{GroupEvent, HostList, UpstreamGroup};
-use finchyard::{Action, Brain, Event, Learnt, Nanos, Outcome, Phase, RequestId, Why, Withheld};
+use finchyard::{Action, Brain, Event, Nanos, Outcome, Phase, RequestId, Why, Withheld};
 use polling::Events;
-use serde::{Deserialize, Serialize};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use std::collections::{BTreeSet, VecDeque};
 use std::io::{self, Read, Write};
-use std::net::TcpListener;
 use std::os::unix::net::UnixStream;
+use upgrade::{clients_socket, take_seat};
 
 /// Descriptors kept for the listener, the poller, discovery, signals and the standard streams.
 const SOCKETS_KEPT: usize = 32;
@@ -37,13 +38,6 @@
 /// A probe is given up after this.
 const PROBE_TIMEOUT: Nanos = 500 * MS;
 
-/// What one process of a balancer leaves for the next.
-#[derive(Serialize, Deserialize)]
-struct Notes {
-    list: HostList,
-    learnt: Learnt,
-}
-
 /// The balancer at work.
 pub struct EventLoop {
     /// What the program runs by; `known` is taken out.
@@ -80,29 +74,6 @@
     (for_peers, left - for_peers)
 }
 
-/// The clients' socket: the one this process was started with, or one of its own.
-fn clients_socket(config: &Config) -> Result<TcpListener, String> {
-    let Some(number) = config.socket_fd else {
-        return what(TcpListener::bind(config.listen), &format!("listening on {}", config.listen));
-    };
-    let listener = inherited(number).map_err(|e| {
-        format!("configuration: GW_SOCKET_FD: {number} {e}; a listening TCP socket is expected")
-    })?;
-    let address = what(listener.local_addr(), "GW_SOCKET_FD")?;
-    if address != config.listen {
-        log::warn!("GW_SOCKET_FD: descriptor {number} listens on {address}, not on {}", config.listen);
-    }
-    Ok(listener)
-}
-
-/// A seat beside the other process of an upgrade; without one this process serves as if it were alone.
-fn take_seat(config: &Config, now: Nanos) -> Option<Seats> {
-    config.socket_fd?;
-    let folder = config.folder.as_ref()?;
-    let process = format!("{}-{now}", std::process::id());
-    Seats::take(folder, process).map_err(|e| log::warn!("seat in $TMPDIR {}: {e}", folder.display())).ok()
-}
-
 /// A pipe that becomes readable with each of these signals.
 fn signals(poll: &Poll, numbers: &[i32], source: Source) -> io::Result<Watched<UnixStream>> {
     let (read, write) = UnixStream::pair()?;
@@ -461,62 +432,6 @@
         }
     }
 
-    /// Looks for the other process of an upgrade.
-    fn look(&mut self, now: Nanos) {
-        let Some(seats) = &mut self.seats else { return };
-        let todo = self.hand_over.look(now, seats.other(), seats.notes_there(), self.life.is_ready());
-        if todo.split {
-            log::info!("another process of this balancer: {}", self.hand_over.is_beside());
-            self.split();
-        }
-        if let Some(to) = todo.write_notes_for
-            && let Some(list) = self.group.list()
-            && let Some(seats) = &self.seats
-        {
-            let notes = Notes { list, learnt: self.decide.learnt() };
-            match seats.write_notes(&to, notes) {
-                Ok(bytes) => log::info!("{bytes} bytes of notes left for process {to}"),
-                Err(e) => log::warn!("notes for process {to}: {e}"),
-            }
-        }
-        if todo.go_on {
-            match self.seats.as_ref().map(Seats::read_notes::<Notes>) {
-                Some(Ok(notes)) => self.recall(notes),
-                Some(Err(e)) => log::warn!("notes of the other process: {e}; going on without"),
-                None => {}
-            }
-        }
-        self.life.set_waits(self.hand_over.waits());
-        self.life.set_other_serves(self.hand_over.other_serves());
-        self.follow(now);
-        self.timers.set(now + self.hand_over.next_look(), Due::Look);
-    }
-
-    /// Takes over what the other process of this balancer knew. The list only if discovery has told no newer one.
-    fn recall(&mut self, notes: Notes) {
-        let known = self.group.list().map_or(0, |list| list.seq);
-        log::info!("notes of the other process: list {}, {} is known", notes.list.seq, known);
-        if notes.list.seq > known {
-            self.list(notes.list, true);
-        }
-        // The list goes first: what was learnt is of caches that are listed.
-        self.settle();
-        if let Err(e) = self.decide.recall(&notes.learnt) {
-            log::warn!("notes of the other process: {e}; going on without");
-        }
-    }
-
-    /// Gives each part what it may hold: half of it all while another process of this balancer lives.
-    fn split(&mut self) {
-        let processes = if self.hand_over.is_beside() { 2 } else { 1 };
-        let (for_peers, for_clients) =
-            split_sockets(self.config.sockets / processes, self.management.is_some());
-        self.memory = self.config.memory / processes / MEMORY_PART;
-        self.peers.set_most(for_peers);
-        self.peers.set_coming_most(self.memory / 2);
-        self.front.set_most(for_clients);
-    }
-
     /// Has the clients' door do what follows from the life cycle now.
     fn follow(&mut self, now: Nanos) {
         let mut events = Vec::new();
--- /dev/null
+++ b/balancer/src/event_loop/upgrade.rs
@@ -0,0 +1,99 @@
+//! The loop's part in an upgrade: the inherited socket, the look at the other process, and what is shared with it.
+
+use super::{EventLoop, MEMORY_PART, split_sockets, what};
+use crate::config::Config;
+use crate::poll::inherited;
+use crate::seats::Seats;
+use crate::timers::Due;
+use crate::upstream_group::HostList;
+use finchyard::{Learnt, Nanos};
+use serde::{Deserialize, Serialize};
+use std::net::TcpListener;
+
+/// What one process of a balancer leaves for the next.
+#[derive(Serialize, Deserialize)]
+struct Notes {
+    list: HostList,
+    learnt: Learnt,
+}
+
+/// The clients' socket: the one this process was started with, or one of its own.
+pub(super) fn clients_socket(config: &Config) -> Result<TcpListener, String> {
+    let Some(number) = config.socket_fd else {
+        return what(TcpListener::bind(config.listen), &format!("listening on {}", config.listen));
+    };
+    let listener = inherited(number).map_err(|e| {
+        format!("configuration: GW_SOCKET_FD: {number} {e}; a listening TCP socket is expected")
+    })?;
+    let address = what(listener.local_addr(), "GW_SOCKET_FD")?;
+    if address != config.listen {
+        log::warn!("GW_SOCKET_FD: descriptor {number} listens on {address}, not on {}", config.listen);
+    }
+    Ok(listener)
+}
+
+/// A seat beside the other process of an upgrade; without one this process serves as if it were alone.
+pub(super) fn take_seat(config: &Config, now: Nanos) -> Option<Seats> {
+    config.socket_fd?;
+    let folder = config.folder.as_ref()?;
+    let process = format!("{}-{now}", std::process::id());
+    Seats::take(folder, process).map_err(|e| log::warn!("seat in $TMPDIR {}: {e}", folder.display())).ok()
+}
+
+impl EventLoop {
+    /// Looks for the other process of an upgrade.
+    pub(super) fn look(&mut self, now: Nanos) {
+        let Some(seats) = &mut self.seats else { return };
+        let todo = self.hand_over.look(now, seats.other(), seats.notes_there(), self.life.is_ready());
+        if todo.split {
+            log::info!("another process of this balancer: {}", self.hand_over.is_beside());
+            self.split();
+        }
+        if let Some(to) = todo.write_notes_for
+            && let Some(list) = self.group.list()
+            && let Some(seats) = &self.seats
+        {
+            let notes = Notes { list, learnt: self.decide.learnt() };
+            match seats.write_notes(&to, notes) {
+                Ok(bytes) => log::info!("{bytes} bytes of notes left for process {to}"),
+                Err(e) => log::warn!("notes for process {to}: {e}"),
+            }
+        }
+        if todo.go_on {
+            match self.seats.as_ref().map(Seats::read_notes::<Notes>) {
+                Some(Ok(notes)) => self.recall(notes),
+                Some(Err(e)) => log::warn!("notes of the other process: {e}; going on without"),
+                None => {}
+            }
+        }
+        self.life.set_waits(self.hand_over.waits());
+        self.life.set_other_serves(self.hand_over.other_serves());
+        self.follow(now);
+        self.timers.set(now + self.hand_over.next_look(), Due::Look);
+    }
+
+    /// Takes over what the other process of this balancer knew. The list only if discovery has told no newer one.
+    fn recall(&mut self, notes: Notes) {
+        let known = self.group.list().map_or(0, |list| list.seq);
+        log::info!("notes of the other process: list {}, {} is known", notes.list.seq, known);
+        if notes.list.seq > known {
+            self.list(notes.list, true);
+        }
+        // The list goes first: what was learnt is of caches that are listed.
+        self.settle();
+        if let Err(e) = self.decide.recall(&notes.learnt) {
+            log::warn!("notes of the other process: {e}; going on without");
+        }
+    }
+
+    /// Gives each part what it may hold: half of it all while another process of this balancer lives.
+    pub(super) fn split(&mut self) {
+        let processes = if self.hand_over.is_beside() { 2 } else { 1 };
+        let (for_peers, for_clients) =
+            split_sockets(self.config.sockets / processes, self.management.is_some());
+        self.memory = self.config.memory / processes / MEMORY_PART;
+        self.peers.set_most(for_peers);
+        self.peers.set_coming_most(self.memory / 2);
+        self.front.set_most(for_clients);
+    }
+}
--- /dev/null
+++ b/balancer/src/front/resp/tests.rs
@@ -0,0 +1,290 @@
+//! Client connections: who is let in, kept, heard and sent away, and answers in order and in parts.
+
+use super::*;
+
+const SERVING: Stance =
+    Stance { state: "serving", ready: true, door: Door::Open, closes_idle: false, takes: true };
+const CLOSING: Stance = Stance { ready: false, closes_idle: true, ..SERVING };
+
+/// A front for this many connections, and a way to connect to it.
+fn front(most: usize) -> (RespFront, impl Fn() -> TcpStream) {
+    let poll = Poll::new().expect("a poller");
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let front = RespFront::listen(&poll, listener, most, SERVING).expect("it listens");
+    let address = front.listener.as_ref().unwrap().socket().local_addr().unwrap();
+    (front, move || TcpStream::connect(address).expect("it takes clients"))
+}
+
+#[test]
+fn a_newcomer_does_not_push_out_a_client_whose_request_is_unread() {
+    let (mut front, connect) = front(1);
+    let mut counters = Counters::default();
+    let mut first = connect();
+    front.accept(0, &mut counters);
+    let _second = connect();
+    front.accept(1, &mut counters);
+    assert_eq!((counters.clients_accepted, counters.clients_closed), (1, 0), "just taken");
+    assert!(!front.accepting, "the newcomer waits");
+    front.sweep(2, &mut Vec::new(), &mut counters);
+    assert!(front.accepting, "but not for good");
+    first.write_all(b"*1\r\n").unwrap();
+    front.accept(IDLE_LEAST, &mut counters);
+    assert_eq!((counters.clients_accepted, counters.clients_closed), (1, 0), "something to read");
+    let ready = Ready { source: Source::Client(0), readable: true, writable: false };
+    front.ready(IDLE_LEAST, ready, &mut Vec::new(), &mut counters);
+    assert!(!front.connections[&0].is_idle(), "half a command");
+    first.write_all(b"$4\r\nPING\r\n").unwrap();
+    front.ready(IDLE_LEAST, ready, &mut Vec::new(), &mut counters);
+    front.accept(2 * IDLE_LEAST, &mut counters);
+    assert_eq!((counters.clients_accepted, counters.clients_closed), (2, 1), "idle by now");
+}
+
+#[test]
+fn who_says_nothing_or_half_a_command_or_is_done_is_closed_in_time() {
+    let (mut front, connect) = front(20);
+    let (mut counters, mut events) = (Counters::default(), Vec::new());
+    let mut clients: Vec<TcpStream> = (0..3).map(|_| connect()).collect();
+    front.accept(0, &mut counters);
+    clients[1].write_all(b"*2\r\n$5").unwrap();
+    let mut unread = connect();
+    front.accept(0, &mut counters);
+    unread.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+    clients[2].write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+    for number in 0..3 {
+        let ready = Ready { source: Source::Client(number), readable: true, writable: false };
+        front.ready(1, ready, &mut events, &mut counters);
+    }
+    front.sweep(UNFINISHED - 1, &mut events, &mut counters);
+    assert_eq!(front.connections.len(), 4);
+    front.sweep(UNFINISHED, &mut events, &mut counters);
+    assert_eq!((front.connections.len(), counters.clients_unfinished), (2, 2), "one is only unread");
+    drop(front.connections.remove(&3));
+    let mut text = String::new();
+    clients[1].read_to_string(&mut text).unwrap();
+    assert_eq!(text, "-ERR the command did not end in time\r\n");
+    front.sweep(IDLE, &mut events, &mut counters);
+    assert_eq!((front.connections.len(), counters.clients_idle), (1, 0), "not yet");
+    front.set_most(1);
+    front.sweep(IDLE, &mut events, &mut counters);
+    assert_eq!((front.connections.len(), counters.clients_idle), (0, 1), "crowded");
+}
+
+#[test]
+fn a_command_that_comes_slowly_has_its_time_from_its_first_byte() {
+    let (mut front, connect) = front(9);
+    let (mut counters, mut events) = (Counters::default(), Vec::new());
+    let mut client = connect();
+    front.accept(0, &mut counters);
+    let ready = Ready { source: Source::Client(0), readable: true, writable: false };
+    client.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+    front.ready(0, ready, &mut events, &mut counters);
+    client.write_all(b"*1\r\n$4").unwrap();
+    front.ready(UNFINISHED - 1, ready, &mut events, &mut counters);
+    for (now, open) in [(2 * UNFINISHED - 2, true), (2 * UNFINISHED - 1, false)] {
+        front.sweep(now, &mut events, &mut counters);
+        assert_eq!(front.connections.len(), usize::from(open), "{now}");
+    }
+}
+
+#[test]
+fn in_a_crowd_those_that_are_idle_longest_are_closed_and_the_last_used_stay() {
+    let (mut front, connect) = front(10);
+    let (mut counters, mut events) = (Counters::default(), Vec::new());
+    let mut clients = Vec::new();
+    for number in 0..6 {
+        let mut client = connect();
+        front.accept(number, &mut counters);
+        client.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+        clients.push(client);
+        let ready = Ready { source: Source::Client(number), readable: true, writable: false };
+        front.ready(number, ready, &mut events, &mut counters);
+    }
+    front.sweep(IDLE_LEAST - 1, &mut events, &mut counters);
+    assert_eq!(front.connections.len(), 6, "not at once");
+    front.sweep(IDLE_LEAST + 9, &mut events, &mut counters);
+    assert_eq!(front.connections.keys().copied().collect::<Vec<_>>(), [2, 3, 4, 5]);
+}
+
+#[test]
+fn when_all_places_are_taken_the_idle_make_room_first_then_halves_that_stand_still() {
+    let (mut front, connect) = front(4);
+    let (mut counters, mut events) = (Counters::default(), Vec::new());
+    let mut clients: Vec<TcpStream> = (0..4).map(|_| connect()).collect();
+    front.accept(0, &mut counters);
+    front.connections.get_mut(&3).unwrap().places.push_back(Place::Waiting(RequestId(8)));
+    let mut say = |front: &mut RespFront, number: u64, now: Nanos, text: &[u8]| {
+        clients[number as usize].write_all(text).unwrap();
+        let ready = Ready { source: Source::Client(number), readable: true, writable: false };
+        front.ready(now, ready, &mut events, &mut Counters::default());
+    };
+    say(&mut front, 0, 0, b"*1\r\n");
+    say(&mut front, 1, 0, b"*1\r\n");
+    say(&mut front, 2, 0, b"*1\r\n$4\r\nPING\r\n");
+    let _more: Vec<TcpStream> = (0..3).map(|_| connect()).collect();
+    front.accept(IDLE_FULL - 1, &mut counters);
+    assert_eq!(counters.clients_closed, 0, "just answered");
+    front.pause(false);
+    front.accept(IDLE_FULL, &mut counters);
+    assert!(counters.clients_closed == 1 && !front.connections.contains_key(&2));
+    // The one goes on, if slowly; the other stands still, and so does the mute one that came.
+    say(&mut front, 0, IDLE_FULL + 1, b"$4\r\n");
+    front.pause(false);
+    front.accept(IDLE_FULL + MUTE_LEAST, &mut counters);
+    assert_eq!(front.connections.keys().copied().collect::<Vec<_>>(), [0, 1, 3, 5]);
+    front.connections.get_mut(&5).unwrap().places.push_back(Place::Waiting(RequestId(9)));
+    front.pause(false);
+    front.accept(HALF_LEAST, &mut counters);
+    assert_eq!(front.connections.keys().copied().collect::<Vec<_>>(), [0, 3, 5, 6]);
+}
+
+#[test]
+fn a_hundred_commands_at_once_are_all_taken_without_waiting_for_answers() {
+    let (mut front, connect) = front(9);
+    let (mut counters, mut events) = (Counters::default(), Vec::new());
+    let mut client = connect();
+    front.accept(0, &mut counters);
+    let command = resp::write_command(&[b"C.GET", b"a", b"1", b"c=read,d=9"]);
+    client.write_all(&command.repeat(100)).unwrap();
+    let ready = Ready { source: Source::Client(0), readable: true, writable: false };
+    front.ready(0, ready, &mut events, &mut counters);
+    assert_eq!(events.len(), 100);
+}
+
+#[test]
+fn clients_that_say_nothing_do_not_push_out_those_that_do() {
+    let (mut front, connect) = front(2);
+    let mut counters = Counters::default();
+    let mut usual = connect();
+    front.accept(0, &mut counters);
+    usual.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+    let ready = Ready { source: Source::Client(0), readable: true, writable: false };
+    front.ready(0, ready, &mut Vec::new(), &mut counters);
+    let _mute: Vec<TcpStream> = (0..4).map(|_| connect()).collect();
+    for turn in 1..9 {
+        front.accept(turn * IDLE_LEAST, &mut counters);
+        front.pause(false);
+    }
+    assert!(front.connections.contains_key(&0) && counters.clients_accepted == 5);
+}
+
+#[test]
+fn a_client_that_never_sends_does_not_keep_a_stopped_front_open() {
+    let (mut front, connect) = front(9);
+    let mut counters = Counters::default();
+    front.follow(CLOSING, 0, &mut Vec::new(), &mut counters);
+    let _late = connect();
+    front.accept(1, &mut counters);
+    assert!(!front.is_empty());
+    let _later = connect();
+    front.follow(Stance { door: Door::Closed, ..CLOSING }, 2, &mut Vec::new(), &mut counters);
+    assert!(front.is_empty());
+    assert_eq!(counters.clients_accepted, 2);
+}
+
+#[test]
+fn in_a_drain_who_comes_and_stays_idle_or_never_ends_is_closed() {
+    let (mut front, connect) = front(9);
+    let (mut counters, mut events) = (Counters::default(), Vec::new());
+    front.follow(CLOSING, 0, &mut events, &mut counters);
+    let _idle = connect();
+    let mut endless = connect();
+    front.accept(1, &mut counters);
+    front.sweep(IDLE_CLOSING, &mut events, &mut counters);
+    assert_eq!(front.connections.len(), 2, "it may be about to ask");
+    // More comes whenever something is answered: a command is always open.
+    let command = resp::write_command(&[b"C.GET", b"a", b"1", b"c=read,d=900000"]);
+    endless.write_all(&command.repeat(2)).unwrap();
+    front.sweep(IDLE_CLOSING + 1, &mut events, &mut counters);
+    assert_eq!(front.connections.keys().copied().collect::<Vec<_>>(), [1], "the idle one has gone");
+    let ready = Ready { source: Source::Client(1), readable: true, writable: false };
+    front.ready(IDLE_CLOSING + 2, ready, &mut events, &mut counters);
+    assert_eq!(events.len(), 2);
+    front.follow(Stance { takes: false, ..CLOSING }, IDLE_CLOSING + 3, &mut events, &mut counters);
+    endless.write_all(&command).unwrap();
+    front.ready(IDLE_CLOSING + 4, ready, &mut events, &mut counters);
+    assert_eq!(events.len(), 2, "no further command is taken");
+    for event in std::mem::take(&mut events) {
+        let FrontEvent::Request(incoming) = event else { panic!("nobody has gone") };
+        assert!(!front.is_empty(), "what was taken is answered first");
+        front.answer(incoming.ticket, FinalAnswer::Failed);
+        front.flush(1, IDLE_CLOSING + 5, &mut Vec::new(), &mut counters);
+    }
+    assert!(front.is_empty());
+    let mut text = String::new();
+    endless.read_to_string(&mut text).unwrap();
+    assert_eq!(text, "-ERR failed\r\n".repeat(2));
+}
+
+/// A front with two requests taken on one connection, and that connection.
+fn two_requests() -> (RespFront, TcpStream, Vec<Ticket>, Counters) {
+    let (mut front, connect) = front(9);
+    let (mut counters, mut events) = (Counters::default(), Vec::new());
+    let mut client = connect();
+    front.accept(0, &mut counters);
+    let command = resp::write_command(&[b"C.GET", b"a", b"1", b"c=read,d=9"]);
+    client.write_all(&command.repeat(2)).unwrap();
+    let ready = Ready { source: Source::Client(0), readable: true, writable: false };
+    front.ready(0, ready, &mut events, &mut counters);
+    let tickets = events.into_iter().map(|event| match event {
+        FrontEvent::Request(incoming) => incoming.ticket,
+        other => panic!("{other:?}"),
+    });
+    let tickets = tickets.collect();
+    (front, client, tickets, counters)
+}
+
+#[test]
+fn an_answer_behind_a_long_one_waits_and_one_before_it_goes_first() {
+    let (mut front, mut client, mut tickets, mut counters) = two_requests();
+    let (second, first) = (tickets.pop().unwrap(), tickets.pop().unwrap());
+    let (one, two) = (first.request, second.request);
+    let mut events = Vec::new();
+    // The second comes while the first is still out: what of it there is room for waits.
+    front.answer(second, FinalAnswer::Coming(WINDOW + 1));
+    front.part(0, two, &[b'y'; WINDOW - 20]);
+    assert!(!front.holds_back(0, two, false) && front.holds_back(0, two, true));
+    front.part(0, two, &[b'y'; 21]);
+    assert!(front.holds_back(0, two, false));
+    front.flush(0, 1, &mut events, &mut counters);
+    front.finish(0, two, true, 1, &mut events, &mut counters);
+    front.answer(first, FinalAnswer::Coming(3));
+    front.part(0, one, b"x");
+    front.flush(0, 1, &mut events, &mut counters);
+    assert!(!front.holds_back(0, one, true), "nothing waits for it");
+    front.part(0, one, b"xx");
+    front.finish(0, one, true, 1, &mut events, &mut counters);
+    let want =
+        [b"$3\r\nxxx\r\n", format!("${}\r\n", WINDOW + 1).as_bytes(), &[b'y'; WINDOW + 1], b"\r\n"].concat();
+    let mut got = vec![0; want.len()];
+    client.read_exact(&mut got).unwrap();
+    assert!(got == want && front.connections[&0].is_idle());
+}
+
+#[test]
+fn a_cache_waits_for_a_client_that_does_not_read_and_goes_on_when_it_does() {
+    let (mut front, mut client, mut tickets, mut counters) = two_requests();
+    let first = tickets.remove(0);
+    let (request, mut events) = (first.request, Vec::new());
+    const LENGTH: usize = 64 << 20;
+    front.answer(first, FinalAnswer::Coming(LENGTH));
+    let mut sent = 0;
+    while !front.holds_back(0, request, false) {
+        front.part(0, request, &[b'x'; READ_SIZE]);
+        front.flush(0, 1, &mut events, &mut counters);
+        sent += READ_SIZE;
+        assert!(sent < LENGTH, "the sockets' buffers are smaller");
+    }
+    assert!(front.buffered() <= WINDOW + READ_SIZE, "what one long value holds");
+    client.set_nonblocking(true).unwrap();
+    let ready = Ready { source: Source::Client(0), readable: false, writable: true };
+    while events.is_empty() {
+        while matches!(client.read(&mut [0; READ_SIZE]), Ok(n) if n > 0) {}
+        front.ready(2, ready, &mut events, &mut counters);
+    }
+    assert!(matches!(events[..], [FrontEvent::Room(r)] if r == request));
+    assert_eq!(front.buffered(), 0);
+    // The cache breaks off: the client must be able to tell, and the request behind has nobody to wait for.
+    events.clear();
+    front.finish(0, request, false, 3, &mut events, &mut counters);
+    assert!(front.is_empty() && matches!(events[..], [FrontEvent::Gone(r)] if r != request));
+}
--- /dev/null
+++ b/balancer/src/peers/tests.rs
@@ -0,0 +1,200 @@
+//! Connections to peers: one job at a time, and how each ends.
+
+use super::*;
+use std::net::TcpListener;
+
+const SERVER: ServerId = ServerId(7);
+
+struct Stage {
+    peers: Peers,
+    peer: TcpListener,
+    timers: Timers,
+    counters: Counters,
+    events: Vec<PeerEvent>,
+    now: Nanos,
+}
+
+fn stage() -> Stage {
+    let peer = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (poll, mut counters) = (Poll::new().unwrap(), Counters::default());
+    let mut peers = Peers::new(&poll, 8, MS, 1000 * MS);
+    peers.set_address(SERVER, peer.local_addr().unwrap(), &mut counters);
+    Stage { peers, peer, timers: Timers::default(), counters, events: Vec::new(), now: 0 }
+}
+
+impl Stage {
+    fn dispatch(&mut self, probe: u64, command: Vec<u8>) {
+        let outgoing = Outgoing { job: Job::Probe(probe), server: SERVER, until: MS, command };
+        self.peers.dispatch(self.now, outgoing, &mut self.timers, &mut self.events, &mut self.counters);
+    }
+
+    fn ready(&mut self, number: u64) {
+        let ready = Ready { source: Source::Peer(number), readable: true, writable: true };
+        self.peers.ready(self.now, ready, &mut self.timers, &mut self.events, &mut self.counters);
+    }
+
+    fn ends(&mut self) -> Vec<JobEnd> {
+        let end = |event| match event {
+            PeerEvent::End { end, .. } => Some(end),
+            _ => None,
+        };
+        self.events.drain(..).filter_map(end).collect()
+    }
+}
+
+#[test]
+fn a_job_is_not_written_to_a_connection_that_has_ended_unnoticed() {
+    let mut s = stage();
+    s.dispatch(1, b"one".to_vec());
+    let mut first = s.peer.accept().unwrap().0;
+    s.ready(0);
+    first.read_exact(&mut [0; 3]).unwrap();
+    first.write_all(b"+PONG\r\n").unwrap();
+    s.ready(0);
+    assert_eq!(s.ends(), [JobEnd::Reply(Reply::Status("PONG".into()))]);
+    drop(first);
+    s.peers.next_turn();
+    s.dispatch(2, b"two".to_vec());
+    assert_eq!((s.counters.peers_opened, s.counters.peers_closed), (2, 1));
+    let mut second = s.peer.accept().unwrap().0;
+    s.ready(1);
+    second.read_exact(&mut [0; 3]).unwrap();
+    assert_eq!(s.ends(), []);
+}
+
+#[test]
+fn what_comes_right_behind_an_answer_is_never_the_next_one() {
+    let mut s = stage();
+    s.dispatch(1, b"one".to_vec());
+    let mut first = s.peer.accept().unwrap().0;
+    s.ready(0);
+    first.write_all(b"+PONG\r\n").unwrap();
+    s.ready(0);
+    // In the same turn it could not be seen yet.
+    s.dispatch(2, b"two".to_vec());
+    assert_eq!((s.counters.peers_opened, s.counters.peers_closed), (2, 0));
+    let mut second = s.peer.accept().unwrap().0;
+    s.ready(1);
+    s.peers.next_turn();
+    second.write_all(b"+PONG\r\n").unwrap();
+    s.now = REST;
+    s.ready(1);
+    s.peers.next_turn();
+    // Of two the one that has rested is taken, though the other was used last.
+    assert_eq!(s.peers.take_idle(REST, SERVER), Some(0));
+    assert_eq!(s.peers.take_idle(REST, SERVER), Some(1));
+    assert_eq!(s.peers.take_idle(REST, SERVER), None);
+}
+
+#[test]
+fn a_job_whose_connection_comes_up_too_late_is_never_written() {
+    type Late = fn(&mut Stage);
+    let cases: [Late; 3] = [
+        |s| s.peers.withdraw(SERVER, &mut s.events, &mut s.counters),
+        |s| s.peers.connect_due(0, &mut s.events, &mut s.counters),
+        // Given up: whoever gave it up needs no telling.
+        |s| {
+            s.peers.abandon(Job::Probe(1), &mut s.counters);
+            s.events.push(PeerEvent::End { job: Job::Probe(1), end: JobEnd::NeverSent });
+        },
+    ];
+    for late in cases {
+        let mut s = stage();
+        s.dispatch(1, b"one".to_vec());
+        let mut connection = s.peer.accept().unwrap().0;
+        late(&mut s);
+        s.ready(0);
+        assert_eq!(connection.read(&mut [0; 3]).unwrap(), 0, "ended without a byte");
+        assert_eq!(s.ends(), [JobEnd::NeverSent]);
+    }
+}
+
+#[test]
+fn an_answer_that_stands_still_is_spoilt_and_one_that_goes_on_is_not() {
+    let mut s = stage();
+    s.dispatch(1, b"one".to_vec());
+    let mut peer = s.peer.accept().unwrap().0;
+    s.ready(0);
+    s.peers.stall_due(STALL, 0, &mut s.events, &mut s.counters);
+    assert_eq!(s.ends(), [], "none has begun: that is for the module's time-out");
+    for part in [b"+P", b"ON"] {
+        peer.write_all(part).unwrap();
+        s.now += STALL - 1;
+        s.ready(0);
+        s.peers.stall_due(s.now, 0, &mut s.events, &mut s.counters);
+    }
+    assert_eq!(s.ends(), []);
+    s.peers.stall_due(s.now + STALL, 0, &mut s.events, &mut s.counters);
+    assert_eq!((s.ends(), s.counters.stalled), (vec![JobEnd::Spoilt], 1));
+    assert!(s.peers.connections.is_empty(), "where the next answer would begin is unknown");
+}
+
+#[test]
+fn answers_that_have_begun_are_bounded_together() {
+    let mut s = stage();
+    s.peers.set_coming_most(1_000);
+    s.dispatch(1, b"one".to_vec());
+    let mut first = s.peer.accept().unwrap().0;
+    s.ready(0);
+    s.dispatch(2, b"two".to_vec());
+    let mut second = s.peer.accept().unwrap().0;
+    s.ready(1);
+    for (stream, number, spoilt) in [(&mut first, 0, false), (&mut second, 1, true)] {
+        stream.write_all(&[b"$60000\r\n".as_slice(), &[b'x'; 600]].concat()).unwrap();
+        s.ready(number);
+        assert_eq!(s.ends() == [JobEnd::Spoilt], spoilt);
+    }
+    assert_eq!(s.peers.coming, 608, "what was given up is let go of");
+    s.peers.abandon(Job::Probe(1), &mut s.counters);
+    assert_eq!(s.peers.coming, 0);
+}
+
+#[test]
+fn a_break_before_the_last_byte_is_written_means_that_it_never_ran() {
+    let mut s = stage();
+    // More than the sockets' buffers hold, and nobody reads.
+    s.dispatch(1, vec![0; 64 << 20]);
+    let connection = s.peer.accept().unwrap().0;
+    s.ready(0);
+    assert!(s.peers.connections[&0].written > 0);
+    drop(connection);
+    s.ready(0);
+    assert_eq!(s.ends(), [JobEnd::NeverSent]);
+}
+
+#[test]
+fn a_peer_gets_its_part_of_the_connections_and_no_more() {
+    let mut s = stage();
+    for probe in 1..=3 {
+        s.dispatch(probe, b"one".to_vec());
+    }
+    assert_eq!((s.ends(), s.counters.peers_opened), (vec![JobEnd::NoPlace], 2));
+}
+
+#[test]
+fn a_long_value_is_passed_on_as_it_comes_and_stands_still_only_while_it_is_read() {
+    let mut s = stage();
+    let job = Job::Try(RequestId(1), AttemptNo(0));
+    let outgoing = Outgoing { job, server: SERVER, until: MS, command: b"one".to_vec() };
+    s.peers.dispatch(0, outgoing, &mut s.timers, &mut s.events, &mut s.counters);
+    let mut peer = s.peer.accept().unwrap().0;
+    s.ready(0);
+    peer.write_all(b"*3\r\n$70000\r\n").unwrap();
+    s.ready(0);
+    s.peers.stall_due(STALL_LONG - 1, 0, &mut s.events, &mut s.counters);
+    assert_eq!(s.events, [], "a long one may come slowly");
+    peer.write_all(&[b'x'; 5_000]).unwrap();
+    s.ready(0);
+    let part = PeerEvent::Part { job, bytes: vec![b'x'; 5_000] };
+    assert_eq!(s.events, [PeerEvent::Begun { job, length: 70_000 }, part]);
+    assert_eq!(s.peers.coming, 0, "what was passed on is not held");
+    s.events.clear();
+    s.peers.pause(0, job, true, &mut s.timers);
+    s.peers.stall_due(STALL_PASSING, 0, &mut s.events, &mut s.counters);
+    assert_eq!(s.events, [], "the client is waited for");
+    s.peers.pause(STALL_PASSING, job, false, &mut s.timers);
+    s.peers.stall_due(2 * STALL_PASSING - 1, 0, &mut s.events, &mut s.counters);
+    assert_eq!(s.events, []);
+    s.peers.stall_due(2 * STALL_PASSING, 0, &mut s.events, &mut s.counters);
+    assert_eq!((s.ends(), s.counters.stalled), (vec![JobEnd::Spoilt], 1));
+}
