--- /dev/null
+++ b/balancer/tests/long_values.rs
@@ -0,0 +1,95 @@
+//! Many long values before clients that do not read: the process holds little of them, and each comes whole once it is read.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::{Command, Stdio};
+use std::time::Duration;
+
+/// After this something has failed.
+const PATIENCE: Duration = Duration::from_secs(30);
+const LENGTH: usize = 4 << 20;
+const CLIENTS: usize = 16;
+/// Commands of each client, at once: what stands behind the first value waits in the process, not in the sockets' buffers.
+const COMMANDS: usize = 4;
+/// What the process may use, in MB: far less than the values together (256).
+const MEMORY: usize = 16;
+
+/// A cache that answers each command with a long value.
+fn cache() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            std::thread::spawn(move || {
+                let mut lines = BufReader::new(stream.try_clone().unwrap()).lines().map_while(Result::ok);
+                // Nine lines are a command of four words.
+                while lines.nth(8).is_some() {
+                    let mut answer = format!("*3\r\n${LENGTH}\r\n").into_bytes();
+                    answer.extend(vec![b'v'; LENGTH]);
+                    answer.extend(b"\r\n$3\r\nhit\r\n$-1\r\n");
+                    if stream.write_all(&answer).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+#[test]
+fn many_long_values_before_clients_that_do_not_read_hold_little_memory_and_come_whole() {
+    let config = std::env::temp_dir().join(format!("pipitrun-long-values-{}.json", std::process::id()));
+    let hosts = (0..4).map(|n| format!(r#"{{"host":"s-{n}","dial":"{}"}}"#, cache()));
+    let text = format!(
+        r#"{{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","limits":{{"memory_mb":{MEMORY},"sockets":512}},
+        "known":{{"seq":1,"whole":true,"hosts":[{}]}},"settings":{{"group_size":1,"membership_mode":"subscribe",
+        "profiles":[{{"name":"read","repeat":"safe","goal_time_ns":9000000000,"give_up_ns":30000000000}}]}}}}"#,
+        hosts.collect::<Vec<_>>().join(",")
+    );
+    std::fs::write(&config, text).unwrap();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_pipitrun"))
+        .env("GW_CONFIG", &config)
+        .env("RUST_LOG", "info")
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut log = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+    let address = log.find_map(|l| Some(l.split_once("listening on ")?.1.split_once(',')?.0.to_string()));
+    std::thread::spawn(move || log.for_each(drop));
+    let address = address.expect("it says where it listens");
+    let head = format!("${LENGTH}\r\n");
+    // Each has begun before any is read on.
+    let clients = (0..CLIENTS).map(|n| {
+        let mut client = TcpStream::connect(&address).unwrap();
+        client.set_read_timeout(Some(PATIENCE)).unwrap();
+        for command in 0..COMMANDS {
+            let id = format!("{n:02}{command:02}");
+            write!(client, "*4\r\n$5\r\nC.GET\r\n$4\r\n{id}\r\n$4\r\n{id}\r\n$14\r\nc=read,d=30000\r\n")
+                .unwrap();
+        }
+        let mut got = vec![0; head.len()];
+        client.read_exact(&mut got).unwrap();
+        assert_eq!(String::from_utf8(got).unwrap(), head);
+        client
+    });
+    for mut client in clients.collect::<Vec<_>>() {
+        for command in 0..COMMANDS {
+            let mut got = vec![0; if command > 0 { head.len() } else { 0 }];
+            client.read_exact(&mut got).unwrap();
+            assert!(command == 0 || got == head.as_bytes(), "{}", got.escape_ascii());
+            let mut value = vec![0; LENGTH + 2];
+            client.read_exact(&mut value).unwrap();
+            assert!(value[..LENGTH].iter().all(|b| *b == b'v') && value.ends_with(b"\r\n"));
+        }
+    }
+    let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap();
+    let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")?.trim().strip_suffix(" kB"));
+    let peak: usize = peak.expect("its peak").parse().unwrap();
+    child.kill().unwrap();
+    child.wait().unwrap();
+    std::fs::remove_file(&config).unwrap();
+    assert!(peak < MEMORY << 10, "{peak} kB at the peak");
+    println!("{peak} kB at the peak");
+}
