Give a try a millisecond at least: quick caches had tries given up unsent

Seen in the upgrade test with a cache that answers within 0.1 ms: of 250 requests the last were refused for want of retries, each with two tries "moot". Ruled out: connections (no_place 0), the cache (all it got it answered).

Tries::start took a time-out under 1 ms, which follows from a T of microseconds, as no time at all. It is 1 ms now, unless the request has less left.

A management address that can't be bound is named with its key and what is expected.

--- a/balancer/src/event_loop.rs
+++ b/balancer/src/event_loop.rs
@@ -100,7 +100,9 @@
         let known = config.known.take();
         let life = LifeCycle::new(config.socket_fd.is_some());
         let management = |address| {
-            what(Management::listen(&poll, address), &format!("listening for management on {address}"))
+            let key = "configuration: management (GW_MANAGEMENT)";
+            Management::listen(&poll, address)
+                .map_err(|e| format!("{key}: {address}: {e}; a free address of this machine is expected"))
         };
         let mut me = EventLoop {
             stop: what(signals(&poll, &[SIGTERM, SIGINT], Source::Stop), "signals")?,
--- a/balancer/src/tries.rs
+++ b/balancer/src/tries.rs
@@ -121,7 +121,9 @@
         // The attempt is the module's own number: with a wrong one it would wait for its end for good.
         let moot = |finished| Box::new(ended(request, attempt, (server, now), now, Outcome::Moot, finished));
         let Some(context) = self.contexts.get_mut(&request) else { return Err(moot(true)) };
-        let until = timeout.map_or(context.deadline, |t| now.saturating_add(t).min(context.deadline));
+        // A peer is told whole milliseconds, and one that answers within microseconds may well need one once.
+        let time = timeout.map_or(Nanos::MAX, |t| t.max(MS));
+        let until = now.saturating_add(time).min(context.deadline);
         if context.owed.is_none() || until < now + MS {
             counters.try_moot += 1;
             return Err(moot(context.owed.is_none()));
@@ -338,4 +340,18 @@
         let Err(end) = tries.start(1, second, ServerId(2), None, &mut counters) else { panic!("sent") };
         assert!(matches!(*end, Event::Ended(Ended { attempt: AttemptNo(1), finished: true, .. })), "{end:?}");
     }
+
+    #[test]
+    fn a_try_has_a_millisecond_at_least_unless_its_request_has_less() {
+        for (patience, sent) in [(100 * MS, true), (MS, true), (MS - 1, false)] {
+            let (mut tries, mut counters) = (Tries::default(), Counters::default());
+            let order = Order { value: None, key: b"k".to_vec(), id: b"i".to_vec(), fields: Vec::new() };
+            let ticket = Ticket { request: RequestId(1), connection: 0 };
+            tries.take(0, Incoming { ticket, class: String::new(), tenant: None, patience, order });
+            // Peers that answer within 0.1 ms have the module give a try up after a fraction of one.
+            let first = (RequestId(1), AttemptNo(0));
+            let started = tries.start(0, first, ServerId(1), Some(MS / 4), &mut counters);
+            assert_eq!(started.ok().map(|o| o.until), sent.then_some(MS), "{patience}");
+        }
+    }
 }
--- a/balancer/tests/upgrade.rs
+++ b/balancer/tests/upgrade.rs
@@ -50,7 +50,7 @@
                 let mut from = BufReader::new(stream.try_clone().unwrap());
                 let mut to = stream;
                 while let Some(words) = command(&mut from) {
-                    // As a cache does: after answers within microseconds the balancer gives a millisecond up as hopeless.
+                    // As a cache does; answers within microseconds have tries given up after one millisecond.
                     std::thread::sleep(Duration::from_millis(5));
                     let id = String::from_utf8(words[2].clone()).unwrap();
                     let answer = format!("*3\r\n${}\r\n{id}\r\n$3\r\nhit\r\n$-1\r\n", id.len());
