Ask discovery at the start also without a known list

Seen in a probe of the door: a process without `known` said 503 until the first client came, whether that was after 0.5 or 2 s. Ruled out: discovery (it was never called), notes and seats (none in that probe).

The module sets its timers with its first event, and EventLoop::new gave it one only with a known list: a front that sends nobody to who isn't ready would wait for good. Without a list it gets a timer's event that means nothing else. With one, nothing changes.

--- a/balancer/src/event_loop.rs
+++ b/balancer/src/event_loop.rs
@@ -17,7 +17,7 @@
 use crate::timers::{Clock, Due, MS, Timers};
 use crate::tries::{Answer, Tries};
 use crate::upstream_group::{GroupEvent, HostList, UpstreamGroup};
-use finchyard::{Action, Brain, Event, Nanos, Outcome, Phase, RequestId, Why, Withheld};
+use finchyard::{Action, Brain, Event, Nanos, Outcome, Phase, RequestId, Token, Why, Withheld};
 use polling::Events;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use std::collections::{BTreeSet, VecDeque};
@@ -132,8 +132,11 @@
         me.peers.set_coming_most(me.memory / 2);
         me.timers.set(now + SWEEP, Due::Sweep);
         me.look(now);
-        if let Some(list) = known {
-            me.list(list, true);
+        match known {
+            Some(list) => me.list(list, true),
+            // The module begins with its first event. Without a list there would be none until a client comes, and
+            // none is sent to who isn't ready.
+            None => me.news.push(Event::Timer(Token(0))),
         }
         Ok(me)
     }
