Tests: start the program and talk to its doors in one place

Four test files each spawned it, looked for its addresses in the log and read the log on; two sent signals and two called the operators' door by code of their own. tests/common does it for all. upgrade.rs also printed every log line past the test harness, and set the same stage three times. No assertion is changed but that 200 must now be "200 OK"; the time-outs of upgrade.rs and long_values.rs are 20 s like the others' (30 s before).

--- a/balancer/tests/exchanges.rs
+++ b/balancer/tests/exchanges.rs
@@ -19,19 +19,17 @@
 //! escapes, `{N*x}` is N times the letter, `#` begins a comment line,
 //! `DISCOVERY`, `REGISTRY` (a second one) and `CACHE` are their addresses. Waits have no bound but [`PATIENCE`].
 
+mod common;
+
+use common::{PATIENCE, Program, connect};
 use rstest::rstest;
 use socket2::SockRef;
 use std::collections::HashMap;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
 
-/// After this a step has failed; no step of a working program comes near it.
-const PATIENCE: Duration = Duration::from_secs(20);
-
 const CONFIG: &str = r#"{"name":"n1","listen":"127.0.0.1:0","discovery":"DISCOVERY","seed":"2a",
     "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
     "known":{"seq":41,"whole":true,"hosts":[{"host":"s-1","dial":"CACHE","site":"a","class":"m2","block":3,
@@ -49,20 +47,15 @@
 
 /// The program under test with all that it talks to.
 struct Stage {
-    child: Child,
-    address: String,
-    management: String,
+    program: Program,
     listeners: HashMap<&'static str, TcpListener>,
     down: Vec<TcpListener>,
     streams: HashMap<String, TcpStream>,
     config: PathBuf,
-    log: Receiver<String>,
 }
 
 impl Drop for Stage {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.config);
     }
 }
@@ -77,34 +70,8 @@
         let story = story.file_stem().expect("a story").to_string_lossy().into_owned();
         let config = std::env::temp_dir().join(format!("pipitrun-{}-{story}.json", std::process::id()));
         std::fs::write(&config, text).expect("a place for the configuration");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_pipitrun"))
-            .env("GW_CONFIG", &config)
-            .env_remove("GW_LISTEN")
-            .env_remove("GW_DISCOVERY")
-            .env("GW_MANAGEMENT", "127.0.0.1:0")
-            .env("RUST_LOG", "info")
-            .stdout(Stdio::null())
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("the program starts");
-        let mut log = BufReader::new(child.stderr.take().expect("its log")).lines().map_while(Result::ok);
-        let address = log.find_map(|l| Some(l.split_once("listening on ")?.1.split_once(',')?.0.to_string()));
-        let management = log.find_map(|l| Some(l.split_once("management listens on ")?.1.to_string()));
-        let management = management.expect("the program says where the operators call");
-        let (lines, log_lines) = channel();
-        // Read on even when nobody asks, or the program would wait for its log to be read.
-        std::thread::spawn(move || log.for_each(|line| drop(lines.send(line))));
-        let address = address.expect("the program says where it listens");
-        Stage {
-            child,
-            address,
-            management,
-            listeners,
-            down: Vec::new(),
-            streams: HashMap::new(),
-            config,
-            log: log_lines,
-        }
+        let program = Program::start(&config, &[]);
+        Stage { program, listeners, down: Vec::new(), streams: HashMap::new(), config }
     }
 
     /// The connection of this party, made or taken if there is none yet.
@@ -112,10 +79,8 @@
         if !self.streams.contains_key(name) {
             let stream = match self.listeners.get(name) {
                 Some(listener) => accept(listener),
-                None if name.contains("admin") => {
-                    TcpStream::connect(&self.management).expect("it takes calls")
-                }
-                None => TcpStream::connect(&self.address).expect("the program takes clients"),
+                None if name.contains("admin") => connect(&self.program.management),
+                None => self.program.client(),
             };
             stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
             self.streams.insert(name.into(), stream);
@@ -126,24 +91,15 @@
     fn step(&mut self, line: &str) {
         let (name, step) = line.split_once(' ').unwrap_or((line, ""));
         match (name, step.split_at(step.len().min(2))) {
-            ("exit", _) => assert!(self.child.wait().expect("it ends").success(), "exit code"),
-            ("signal", _) => {
-                let pid = self.child.id().to_string();
-                let sent = Command::new("kill").args([&format!("-{step}"), &pid]).status();
-                assert!(sent.expect("kill is there").success(), "signal sent");
-            }
+            ("exit", _) => assert!(self.program.child.wait().expect("it ends").success(), "exit code"),
+            ("signal", _) => self.program.signal(step),
             ("file", _) => {
                 let (old, new) = step.split_once(" => ").expect("what for what");
                 let text = std::fs::read_to_string(&self.config).expect("the configuration");
                 assert!(text.contains(old), "{text}");
                 std::fs::write(&self.config, text.replace(old, new)).expect("it can be written");
             }
-            ("log", _) => loop {
-                let line = self.log.recv_timeout(PATIENCE).expect("a log line");
-                if line.contains(step) {
-                    break;
-                }
-            },
+            ("log", _) => self.program.wait_log(step),
             (_, ("> ", bytes)) => self.stream(name).write_all(&unescape(bytes)).expect("the program reads"),
             (_, ("< ", bytes)) => {
                 let want = unescape(bytes);
--- a/balancer/tests/long_values.rs
+++ b/balancer/tests/long_values.rs
@@ -1,12 +1,11 @@
 //! Many long values before clients that do not read: the process holds little of them, and each comes whole once it is read.
 
+mod common;
+
+use common::Program;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{TcpListener, TcpStream};
-use std::process::{Command, Stdio};
-use std::time::Duration;
+use std::net::TcpListener;
 
-/// After this something has failed.
-const PATIENCE: Duration = Duration::from_secs(30);
 const LENGTH: usize = 4 << 20;
 const CLIENTS: usize = 16;
 /// Commands of each client, at once: what stands behind the first value waits in the process, not in the sockets' buffers.
@@ -48,22 +47,11 @@
         hosts.collect::<Vec<_>>().join(",")
     );
     std::fs::write(&config, text).unwrap();
-    let mut child = Command::new(env!("CARGO_BIN_EXE_pipitrun"))
-        .env("GW_CONFIG", &config)
-        .env("RUST_LOG", "info")
-        .stdout(Stdio::null())
-        .stderr(Stdio::piped())
-        .spawn()
-        .unwrap();
-    let mut log = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
-    let address = log.find_map(|l| Some(l.split_once("listening on ")?.1.split_once(',')?.0.to_string()));
-    std::thread::spawn(move || log.for_each(drop));
-    let address = address.expect("it says where it listens");
+    let program = Program::start(&config, &[]);
     let head = format!("${LENGTH}\r\n");
     // Each has begun before any is read on.
     let clients = (0..CLIENTS).map(|n| {
-        let mut client = TcpStream::connect(&address).unwrap();
-        client.set_read_timeout(Some(PATIENCE)).unwrap();
+        let mut client = program.client();
         for command in 0..COMMANDS {
             let id = format!("{n:02}{command:02}");
             write!(client, "*4\r\n$5\r\nC.GET\r\n$4\r\n{id}\r\n$4\r\n{id}\r\n$14\r\nc=read,d=30000\r\n")
@@ -84,12 +72,9 @@
             assert!(value[..LENGTH].iter().all(|b| *b == b'v') && value.ends_with(b"\r\n"));
         }
     }
-    let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap();
+    let status = std::fs::read_to_string(format!("/proc/{}/status", program.child.id())).unwrap();
     let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")?.trim().strip_suffix(" kB"));
     let peak: usize = peak.expect("its peak").parse().unwrap();
-    child.kill().unwrap();
-    child.wait().unwrap();
     std::fs::remove_file(&config).unwrap();
     assert!(peak < MEMORY << 10, "{peak} kB at the peak");
-    println!("{peak} kB at the peak");
 }
--- a/balancer/tests/upgrade.rs
+++ b/balancer/tests/upgrade.rs
@@ -1,19 +1,17 @@
 //! Two processes of one balancer on a listening socket that both inherit, under a stream of requests: a new version takes over,
 //! and either of them is killed.
 
+mod common;
+
+use common::{Program, connect, wait};
 use socket2::Socket;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
-
-/// After this something has failed; nothing in a working program comes near it.
-const PATIENCE: Duration = Duration::from_secs(30);
+use std::time::Duration;
 
 const CONFIG: &str = r#"{"name":"n1","listen":"LISTEN","discovery":"127.0.0.1:1","seed":"2a",
     "limits":{"cores":1.0,"memory_mb":64,"sockets":1024},
@@ -64,48 +62,6 @@
     address
 }
 
-struct Process {
-    child: Child,
-    management: String,
-    log: Receiver<String>,
-}
-
-impl Process {
-    /// Whether it is ready to serve, as it says itself.
-    fn is_ready(&self) -> bool {
-        let mut stream = TcpStream::connect(&self.management).unwrap();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        stream.write_all(b"GET /admin/health HTTP/1.1\r\n\r\n").unwrap();
-        let mut text = String::new();
-        stream.read_to_string(&mut text).unwrap();
-        text.starts_with("HTTP/1.1 200 ")
-    }
-
-    fn wait_ready(&self) {
-        let asked = Instant::now();
-        while !self.is_ready() {
-            assert!(asked.elapsed() < PATIENCE, "never ready");
-            std::thread::sleep(Duration::from_millis(1));
-        }
-    }
-
-    fn wait_log(&self, text: &str) {
-        while !self.log.recv_timeout(PATIENCE).expect("a log line").contains(text) {}
-    }
-
-    fn signal(&self, name: &str) {
-        let sent = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
-        assert!(sent.expect("kill is there").success());
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 /// What the processes share.
 struct Stage {
     socket: Socket,
@@ -132,27 +88,19 @@
         Stage { socket, address, folder }
     }
 
-    fn start(&self) -> Process {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_pipitrun"))
-            .env("GW_CONFIG", self.folder.join("config.json"))
-            .env("GW_MANAGEMENT", "127.0.0.1:0")
-            .env("GW_SOCKET_FD", self.socket.as_raw_fd().to_string())
-            .env("TMPDIR", &self.folder)
-            .env("RUST_LOG", "info")
-            .stdout(Stdio::null())
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let mut log = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
-        let management = log.find_map(|l| Some(l.split_once("management listens on ")?.1.to_string()));
-        let (lines, log_lines) = channel();
-        std::thread::spawn(move || {
-            log.for_each(|line| {
-                println!("{line}");
-                drop(lines.send(line));
-            });
-        });
-        Process { child, management: management.expect("it says where it is called"), log: log_lines }
+    fn start(&self) -> Program {
+        let socket = self.socket.as_raw_fd().to_string();
+        let variables = [("GW_SOCKET_FD", socket.as_ref()), ("TMPDIR", self.folder.as_os_str())];
+        Program::start(&self.folder.join("config.json"), &variables)
+    }
+
+    /// A process that serves clients, who ask without a pause.
+    fn under_load(&self) -> (Program, Clients) {
+        let program = self.start();
+        program.wait_ready();
+        let clients = Clients::start(&self.address);
+        clients.wait(100);
+        (program, clients)
     }
 }
 
@@ -175,12 +123,6 @@
     true
 }
 
-fn connect(address: &str) -> TcpStream {
-    let stream = TcpStream::connect(address).expect("nobody is refused");
-    stream.set_read_timeout(Some(PATIENCE)).unwrap();
-    stream
-}
-
 /// Clients that ask without a pause until told to stop.
 struct Clients {
     stop: Arc<AtomicBool>,
@@ -229,12 +171,10 @@
     /// Waits until this many more have been answered.
     fn wait(&self, more: usize) {
         let until = self.answered.load(Ordering::Relaxed) + more;
-        let asked = Instant::now();
-        while self.answered.load(Ordering::Relaxed) < until {
-            assert!(asked.elapsed() < PATIENCE, "no answers");
+        wait("answers", || {
             assert!(self.threads.iter().all(|t| !t.is_finished()), "a client has failed");
-            std::thread::sleep(Duration::from_millis(1));
-        }
+            self.answered.load(Ordering::Relaxed) >= until
+        });
     }
 
     /// The requests that were not answered.
@@ -250,10 +190,8 @@
 #[test]
 fn a_new_version_takes_over_and_no_request_is_lost() {
     let stage = Stage::set("over");
-    let mut old = stage.start();
-    old.wait_ready();
-    let clients = Clients::start(&stage.address);
-    clients.wait(200);
+    let (mut old, clients) = stage.under_load();
+    clients.wait(100);
     for _ in 0..2 {
         let new = stage.start();
         new.wait_ready();
@@ -272,9 +210,7 @@
 #[test]
 fn a_newcomer_that_is_killed_leaves_the_other_as_it_was() {
     let stage = Stage::set("newcomer");
-    let old = stage.start();
-    old.wait_ready();
-    let clients = Clients::start(&stage.address);
+    let (old, clients) = stage.under_load();
     // As soon as it has begun, and once both serve.
     for ready in [false, true] {
         let mut new = stage.start();
@@ -296,10 +232,7 @@
 #[test]
 fn who_finds_the_other_killed_serves_alone() {
     let stage = Stage::set("old");
-    let mut old = stage.start();
-    old.wait_ready();
-    let clients = Clients::start(&stage.address);
-    clients.wait(100);
+    let (mut old, clients) = stage.under_load();
     let new = stage.start();
     new.wait_ready();
     old.child.kill().unwrap();
@@ -316,10 +249,7 @@
     old.wait_ready();
     let new = stage.start();
     new.wait_ready();
-    let mut call = TcpStream::connect(&new.management).unwrap();
-    call.write_all(b"POST /admin/quiesce HTTP/1.1\r\n\r\n").unwrap();
-    let mut text = String::new();
-    call.read_to_string(&mut text).unwrap();
+    let text = new.call("POST /admin/quiesce");
     assert!(text.ends_with("{\"state\":\"quiesced\"}\n"), "{text}");
     assert!(ask(&mut connect(&stage.address), "1"));
     old.signal("TERM");
