--- a/balancer/src/config.rs
+++ b/balancer/src/config.rs
@@ -135,41 +135,34 @@
         let file: File = serde_path_to_error::deserialize(&mut json)
             .map_err(|e| wrong(&e.path().to_string(), e.inner()))?;
         json.end().map_err(|e| wrong("GW_CONFIG", e))?;
-        let address = |name: &str, key: &str, in_file: Option<String>| {
-            let (key, text) = match variable(name) {
-                Some(text) => (name, text),
-                None => {
-                    (key, in_file.ok_or_else(|| wrong(key, format!("is missing, and {name} is not set")))?)
-                }
-            };
+        // Which key tells something, and what: the environment goes before the file.
+        let told = |name: &'static str, key: &'static str, in_file: Option<String>| match variable(name) {
+            Some(text) => Some((name, text)),
+            None => in_file.map(|text| (key, text)),
+        };
+        let address = |name, key, in_file| {
+            let missing = || wrong(key, format!("is missing, and {name} is not set"));
+            let (key, text) = told(name, key, in_file).ok_or_else(missing)?;
             parse_address(key, &text)
         };
         let listen = address("GW_LISTEN", "listen", file.listen)?;
-        let management = match (variable("GW_MANAGEMENT"), file.management) {
-            (Some(text), _) => Some(("GW_MANAGEMENT", text)),
-            (None, in_file) => in_file.map(|text| ("management", text)),
-        };
-        let management = match management {
-            Some((key, text)) => match parse_address(key, &text)? {
-                same if same == listen && same.port() != 0 => {
-                    return Err(wrong(
-                        key,
-                        format!("\"{text}\" is where clients connect; it must be another address"),
-                    ));
+        let management = match told("GW_MANAGEMENT", "management", file.management) {
+            Some((key, text)) => {
+                let address = parse_address(key, &text)?;
+                if address == listen && address.port() != 0 {
+                    let problem = format!("\"{text}\" is where clients connect; it must be another address");
+                    return Err(wrong(key, problem));
                 }
-                address => Some(address),
-            },
+                Some(address)
+            }
             None => None,
         };
-        let socket_fd = match variable("GW_SOCKET_FD") {
-            Some(text) => Some(text.parse().map_err(|_| {
-                wrong(
-                    "GW_SOCKET_FD",
-                    format!("\"{text}\" is no number of a descriptor; a listening TCP socket is expected"),
-                )
-            })?),
-            None => None,
+        let descriptor = |text: String| {
+            let problem =
+                || format!("\"{text}\" is no number of a descriptor; a listening TCP socket is expected");
+            text.parse().map_err(|_| wrong("GW_SOCKET_FD", problem()))
         };
+        let socket_fd = variable("GW_SOCKET_FD").map(descriptor).transpose()?;
         let (settings, names, transport) = file.settings.translate().map_err(|e| wrong("settings", e))?;
         settings.check().map_err(|e| wrong(&format!("settings.{}", key_of(&e)), e.problem))?;
         let figure = |key: &str, value: Option<f64>, default: usize, least: usize| match value {
--- a/balancer/src/event_loop.rs
+++ b/balancer/src/event_loop.rs
@@ -121,7 +121,8 @@
             timers: Timers::default(),
             counters: Counters::default(),
             news: Vec::new(),
-            memory: config.memory / MEMORY_PART,
+            // By `split`.
+            memory: 0,
             max_open: transport.max_open,
             management: config.management.map(management).transpose()?,
             life,
@@ -129,7 +130,7 @@
             poll,
             config,
         };
-        me.peers.set_coming_most(me.memory / 2);
+        me.split();
         me.timers.set(now + SWEEP, Due::Sweep);
         me.look(now);
         match known {
@@ -376,7 +377,8 @@
         let mut events = Vec::new();
         self.front.flush(connection, now, &mut events, &mut self.counters);
         // At half of what would have requests refused: long values must not cause that.
-        let tight = self.tries.held() + self.front.buffered() > self.memory / 2;
+        let waits = self.front.waits(connection, request) > 0;
+        let tight = waits && self.tries.held() + self.front.buffered() > self.memory / 2;
         if self.front.holds_back(connection, request, tight) {
             self.peers.pause(now, job, true, &mut self.timers);
         }
--- a/balancer/src/event_loop/upgrade.rs
+++ b/balancer/src/event_loop/upgrade.rs
@@ -47,11 +47,10 @@
         let todo = self.hand_over.look(now, seats.other(), seats.notes_there(), self.life.is_ready());
         if todo.split {
             log::info!("another process of this balancer: {}", self.hand_over.is_beside());
-            self.split();
         }
+        let notes = todo.go_on.then(|| seats.read_notes::<Notes>());
         if let Some(to) = todo.write_notes_for
             && let Some(list) = self.group.list()
-            && let Some(seats) = &self.seats
         {
             let notes = Notes { list, learnt: self.decide.learnt() };
             match seats.write_notes(&to, notes) {
@@ -59,12 +58,13 @@
                 Err(e) => log::warn!("notes for process {to}: {e}"),
             }
         }
-        if todo.go_on {
-            match self.seats.as_ref().map(Seats::read_notes::<Notes>) {
-                Some(Ok(notes)) => self.recall(notes),
-                Some(Err(e)) => log::warn!("notes of the other process: {e}; going on without"),
-                None => {}
-            }
+        if todo.split {
+            self.split();
+        }
+        match notes {
+            Some(Ok(notes)) => self.recall(notes),
+            Some(Err(e)) => log::warn!("notes of the other process: {e}; going on without"),
+            None => {}
         }
         self.life.set_waits(self.hand_over.waits());
         self.life.set_other_serves(self.hand_over.other_serves());
@@ -74,7 +74,7 @@
 
     /// Takes over what the other process of this balancer knew. The list only if discovery has told no newer one.
     fn recall(&mut self, notes: Notes) {
-        let known = self.group.list().map_or(0, |list| list.seq);
+        let known = self.group.seq().unwrap_or(0);
         log::info!("notes of the other process: list {}, {} is known", notes.list.seq, known);
         if notes.list.seq > known {
             self.list(notes.list, true);
--- a/balancer/src/front/management.rs
+++ b/balancer/src/front/management.rs
@@ -2,7 +2,7 @@
 //! writes answers, and lets nobody who says nothing keep others waiting.
 
 use crate::counters::Counters;
-use crate::poll::{Poll, Ready, Source, Watched};
+use crate::poll::{Poll, Ready, Source, Watched, discard};
 use crate::timers::MS;
 use finchyard::Nanos;
 use std::collections::BTreeMap;
@@ -49,8 +49,6 @@
     /// The answer, and how much of it is written; empty until there is one.
     output: Vec<u8>,
     written: usize,
-    /// The answer is out and the sending side is shut.
-    answered: bool,
 }
 
 /// The door and the callers at it.
@@ -125,9 +123,9 @@
                 Err(e) => return log::warn!("accepting management calls: {e}"),
             };
             if self.callers.len() >= CALLERS_MAX {
-                let oldest = self.callers.iter().min_by_key(|(n, c)| (c.output.is_empty(), c.since, **n));
-                let unfinished = self.callers.iter().find(|(_, c)| c.output.is_empty()).or(oldest);
-                if let Some(number) = unfinished.map(|(n, _)| *n) {
+                // They are numbered as they came.
+                let unfinished = self.callers.iter().find(|(_, c)| c.output.is_empty());
+                if let Some((&number, _)) = unfinished.or(self.callers.first_key_value()) {
                     counters.calls_pushed_out += 1;
                     self.callers.remove(&number);
                 }
@@ -140,7 +138,7 @@
                 Ok(stream) => {
                     self.next_caller += 1;
                     let (input, output) = (Vec::new(), Vec::new());
-                    let caller = Caller { stream, since: now, input, output, written: 0, answered: false };
+                    let caller = Caller { stream, since: now, input, output, written: 0 };
                     self.callers.insert(number, caller);
                 }
                 Err(e) => log::warn!("management call: {e}"),
@@ -153,11 +151,11 @@
         let Source::Caller(number) = ready.source else { return None };
         let c = self.callers.get_mut(&number)?;
         if !c.output.is_empty() {
-            if ready.readable && !c.discard() {
+            if ready.readable && !discard(c.stream.socket(), DISCARD_MAX) {
                 self.callers.remove(&number);
-                return None;
+            } else if c.written < c.output.len() {
+                self.write(number);
             }
-            self.write(number);
             return None;
         }
         let held = c.input.len();
@@ -216,10 +214,10 @@
             }
         }
         let unsent = c.written < c.output.len();
-        if !unsent && !c.answered {
+        if !unsent {
             // The caller ends the connection: closing over what it still sends would reset the answer away.
-            c.answered = true;
-            if c.stream.socket().shutdown(std::net::Shutdown::Write).is_err() || !c.discard() {
+            let socket = c.stream.socket();
+            if socket.shutdown(std::net::Shutdown::Write).is_err() || !discard(socket, DISCARD_MAX) {
                 return drop(self.callers.remove(&number));
             }
         }
@@ -242,22 +240,6 @@
     }
 }
 
-impl Caller {
-    /// Takes what comes behind a call; false once the caller has ended or sends without end.
-    fn discard(&mut self) -> bool {
-        let mut bytes = [0; 4096];
-        for _ in 0..DISCARD_MAX / bytes.len() {
-            match self.stream.socket().read(&mut bytes) {
-                Ok(n) if n > 0 => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return true,
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                _ => return false,
-            }
-        }
-        false
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/balancer/src/front/resp.rs
+++ b/balancer/src/front/resp.rs
@@ -2,7 +2,7 @@
 
 use crate::counters::Counters;
 use crate::life_cycle::{Door, Stance};
-use crate::poll::{Poll, Ready, Source, Watched, is_silent};
+use crate::poll::{Poll, Ready, Source, Watched, discard, is_silent};
 use crate::request::{FinalAnswer, Incoming, Order, Ticket};
 use crate::resp::{self, VALUE_MAX, read_command};
 use crate::timers::MS;
@@ -22,6 +22,8 @@
 const READ_SIZE: usize = 32 * 1024;
 /// Unread commands are kept up to this size: one with the longest value always fits.
 const INPUT_MAX: usize = resp::MESSAGE_MAX;
+/// Of what comes behind a command that can't be read this much is taken before the connection is closed.
+const DISCARD_MAX: usize = 256 * 1024;
 /// At most this many connections are taken in one turn of the loop: a flood of them must not hold up the rest.
 const ACCEPT_MAX: usize = 64;
 /// A client that takes none of its answer for this long is given up.
@@ -169,10 +171,10 @@
 
     /// Takes the clients that wait at the door.
     pub fn accept(&mut self, now: Nanos, counters: &mut Counters) {
+        if self.stance.door == Door::Waits {
+            return;
+        }
         for _ in 0..ACCEPT_MAX {
-            if self.stance.door == Door::Waits {
-                return;
-            }
             if self.connections.len() >= self.most && !self.make_room(now, counters) {
                 // All are at work: whoever comes waits in the listener's queue until one is done. Taking it
                 // would use up the descriptors that peers and discovery need.
@@ -356,29 +358,40 @@
         }
     }
 
-    fn coming(&mut self, connection: u64, wanted: RequestId) -> Option<(&mut Vec<u8>, &mut bool)> {
-        self.connections.get_mut(&connection)?.places.iter_mut().find_map(|place| match place {
-            Place::Coming { request, bytes, held_back } if *request == wanted => Some((bytes, held_back)),
-            _ => None,
-        })
+    /// The place of a value that comes in parts.
+    fn coming(&mut self, connection: u64, wanted: RequestId) -> Option<&mut Place> {
+        let is_it = |p: &&mut Place| matches!(p, Place::Coming { request, .. } if *request == wanted);
+        self.connections.get_mut(&connection)?.places.iter_mut().find(is_it)
     }
 
     /// The next bytes of a value that comes in parts.
     pub fn part(&mut self, connection: u64, request: RequestId, part: &[u8]) {
-        if let Some((bytes, _)) = self.coming(connection, request) {
+        if let Some(Place::Coming { bytes, .. }) = self.coming(connection, request) {
             bytes.extend_from_slice(part);
         }
     }
 
+    /// How much of this value waits for its client.
+    pub fn waits(&self, connection: u64, wanted: RequestId) -> usize {
+        let Some(c) = self.connections.get(&connection) else { return 0 };
+        c.places
+            .iter()
+            .enumerate()
+            .find_map(|(place, p)| match p {
+                // Of the first place some may be on its way out already.
+                Place::Coming { request, bytes, .. } if *request == wanted => {
+                    Some(bytes.len() + if place == 0 { c.unsent() } else { 0 })
+                }
+                _ => None,
+            })
+            .unwrap_or(0)
+    }
+
     /// Whether the cache of this value is not to be read until there is room: as soon as anything waits where memory is
     /// `tight`. [`FrontEvent::Room`] tells when.
     pub fn holds_back(&mut self, connection: u64, request: RequestId, tight: bool) -> bool {
-        let Some(c) = self.connections.get(&connection) else { return false };
-        let first =
-            matches!(c.places.front(), Some(Place::Coming { request: first, .. }) if *first == request);
-        let before = if first { c.unsent() } else { 0 };
-        let Some((bytes, held_back)) = self.coming(connection, request) else { return false };
-        let waits = before + bytes.len();
+        let waits = self.waits(connection, request);
+        let Some(Place::Coming { held_back, .. }) = self.coming(connection, request) else { return false };
         *held_back = waits >= WINDOW || tight && waits > 0;
         *held_back
     }
@@ -393,13 +406,10 @@
         events: &mut Vec<FrontEvent>,
         counters: &mut Counters,
     ) {
-        let Some((bytes, _)) = self.coming(connection, request) else { return };
-        let mut bytes = std::mem::take(bytes);
-        bytes.extend_from_slice(if whole { b"\r\n" } else { b"" });
-        let Some(c) = self.connections.get_mut(&connection) else { return };
-        let place =
-            c.places.iter_mut().find(|p| matches!(p, Place::Coming { request: r, .. } if *r == request));
-        if let Some(place) = place {
+        let Some(place) = self.coming(connection, request) else { return };
+        if let Place::Coming { bytes, .. } = place {
+            let mut bytes = std::mem::take(bytes);
+            bytes.extend_from_slice(if whole { b"\r\n" } else { b"" });
             *place = Place::Answered(bytes);
         }
         if whole {
@@ -450,7 +460,7 @@
             let done = c.last || self.stance.closes_idle && c.input.is_empty();
             if done && c.places.is_empty() && c.unsent() == 0 {
                 if c.last {
-                    discard(c.stream.socket());
+                    discard(c.stream.socket(), DISCARD_MAX);
                 }
                 return self.remove(number, counters, events);
             }
@@ -580,17 +590,6 @@
     }
 }
 
-/// Takes what has come and will not be read: closing over it would reset the connection, and the client might
-/// lose the answer that tells it why.
-fn discard(mut stream: &TcpStream) {
-    let mut bytes = [0; 4096];
-    for _ in 0..64 {
-        if !matches!(stream.read(&mut bytes), Ok(n) if n > 0) {
-            return;
-        }
-    }
-}
-
 /// What a command turns out to be.
 enum Taken {
     Request(Incoming),
--- a/balancer/src/hand_over.rs
+++ b/balancer/src/hand_over.rs
@@ -2,16 +2,17 @@
 
 use crate::timers::MS;
 use finchyard::Nanos;
+use serde::{Deserialize, Serialize};
 
 /// How often a process looks whether the other lives.
-pub const LOOK: Nanos = 100 * MS;
+const LOOK: Nanos = 100 * MS;
 /// How often a newcomer looks for the notes that are due to it.
-pub const LOOK_FOR_NOTES: Nanos = 10 * MS;
+const LOOK_FOR_NOTES: Nanos = 10 * MS;
 /// How long a newcomer waits for them.
-pub const NOTES_WAIT: Nanos = 500 * MS;
+const NOTES_WAIT: Nanos = 500 * MS;
 
 /// The other process, as its seat tells.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Other {
     /// A name of its own for each start.
     pub process: String,
--- a/balancer/src/life_cycle.rs
+++ b/balancer/src/life_cycle.rs
@@ -5,13 +5,13 @@
 
 /// How long client connections stay open in a drain: a front that asks ten times a second and takes 0.2 s to turn away
 /// has done so by then, and whoever is sent away sooner only comes back.
-pub const TURN_AWAY: Nanos = 400 * MS;
+const TURN_AWAY: Nanos = 400 * MS;
 /// How long new connections are taken after a request to stop: they keep coming for up to 0.4 s.
-pub const ACCEPT_ON: Nanos = 700 * MS;
+const ACCEPT_ON: Nanos = 700 * MS;
 
 /// How long commands are taken from a connection that is to close, as long as it never stands idle: who sends without
 /// end would keep it open for good.
-pub const TAKE_ON: Nanos = 1_500 * MS;
+const TAKE_ON: Nanos = 1_500 * MS;
 
 /// What becomes of those who connect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/balancer/src/passing.rs
+++ b/balancer/src/passing.rs
@@ -16,18 +16,22 @@
 /// How the end of a long value turns out: nothing made of it but the note and report, and where the next answer would begin.
 pub type Tail = (Answer, Option<usize>);
 
+/// Where a long value begins and how long it is, if the answer that has begun is that of one.
+fn long_start(input: &[u8]) -> Option<(usize, usize)> {
+    read_long_start(input).filter(|(_, length)| (VALUE_MAX + 1..=ANSWER_VALUE_MAX).contains(length))
+}
+
 /// Whether an answer that has begun is that of a long value.
 pub fn is_long(input: &[u8]) -> bool {
-    matches!(read_long_start(input), Some((_, length)) if (VALUE_MAX + 1..=ANSWER_VALUE_MAX).contains(&length))
+    long_start(input).is_some()
 }
 
 impl Passing {
     /// Begins to pass a value on if it is a long one and enough of it is there. Returns its whole length too; the input is left with
     /// what has come of the value.
     pub fn begin(input: &mut Vec<u8>) -> Option<(Self, usize)> {
-        let (start, length) = read_long_start(input)?;
-        let long = (VALUE_MAX + 1..=ANSWER_VALUE_MAX).contains(&length);
-        if !long || input.len() - start < BEGIN_AFTER {
+        let (start, length) = long_start(input)?;
+        if input.len() - start < BEGIN_AFTER {
             return None;
         }
         input.drain(..start);
--- a/balancer/src/poll.rs
+++ b/balancer/src/poll.rs
@@ -2,7 +2,7 @@
 
 use polling::{AsSource, Event, Events, PollMode, Poller};
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
-use std::io;
+use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::{BorrowedFd, FromRawFd, RawFd};
 use std::rc::Rc;
@@ -36,8 +36,8 @@
         return Err("is no listening TCP socket".into());
     }
     socket.local_addr().ok().and_then(|a| a.as_socket()).ok_or("is no listening TCP socket")?;
-    // SAFETY: it is open, and given to this process for its own by whoever started it: nothing else here holds it,
-    // for this is called once, before any descriptor of that number could have been opened by the program itself.
+    // SAFETY: it is open and listens, so it was given to this process by whoever started it: this is called once, before
+    // the program listens anywhere itself, and nothing else here holds it.
     Ok(unsafe { TcpListener::from_raw_fd(number) })
 }
 
@@ -46,6 +46,21 @@
     matches!(stream.peek(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
 }
 
+/// Takes what has come and will not be read, at most so much: closing over it would reset the connection, and who is at its
+/// other end might lose the last answer. False once it has ended, or if it sends on and on.
+pub fn discard(mut stream: &TcpStream, most: usize) -> bool {
+    let mut bytes = [0; 4096];
+    for _ in 0..most / bytes.len() {
+        match stream.read(&mut bytes) {
+            Ok(n) if n > 0 => {}
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            _ => return false,
+        }
+    }
+    false
+}
+
 /// Whose socket became ready.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
--- a/balancer/src/resp.rs
+++ b/balancer/src/resp.rs
@@ -147,6 +147,18 @@
         }
     }
 
+    /// The rest of an answer behind its value: the note, and the report if it can be read.
+    fn made(&mut self, value: Vec<u8>) -> Result<Option<(Answer, Option<usize>)>, RespError> {
+        let note = more!(self.member(WORD_MAX));
+        let load = match self.member(WORD_MAX) {
+            Ok(Some(load)) => Ok(load),
+            Ok(None) | Err(_) => Err(()),
+        };
+        let length = load.as_ref().ok().map(|_| self.at);
+        let made = Answer::Made { value, note, load: load.unwrap_or_default() };
+        Ok(Some((made, length)))
+    }
+
     fn reply(&mut self, depth: usize) -> Result<Option<Reply>, RespError> {
         let Some(start) = self.start() else { return Ok(None) };
         let text = |line: &[u8]| String::from_utf8_lossy(line).into_owned();
@@ -236,8 +248,7 @@
         return Err(RespError::Length);
     }
     let value = more!(reader.member(ANSWER_VALUE_MAX)).ok_or(RespError::Length)?;
-    let made = more!(reader.made(value));
-    Ok(Some(made))
+    reader.made(value)
 }
 
 /// Where the value of an answer begins and how long it says it is, once that much has come.
@@ -264,21 +275,6 @@
     Reader { input, at: end.len() }.made(Vec::new())
 }
 
-impl Reader<'_> {
-    /// The rest of an answer behind its value: the note, and the report if it can be read.
-    fn made(&mut self, value: Vec<u8>) -> Result<Option<(Answer, Option<usize>)>, RespError> {
-        let reader = self;
-        let note = more!(reader.member(WORD_MAX));
-        let load = match reader.member(WORD_MAX) {
-            Ok(Some(load)) => Ok(load),
-            Ok(None) | Err(_) => Err(()),
-        };
-        let length = load.as_ref().ok().map(|_| reader.at);
-        let made = Answer::Made { value, note, load: load.unwrap_or_default() };
-        Ok(Some((made, length)))
-    }
-}
-
 /// Reads a reply; with it comes its length.
 pub fn read_reply(input: &[u8]) -> Result<Option<(Reply, usize)>, RespError> {
     let mut reader = Reader { input, at: 0 };
--- a/balancer/src/seats.rs
+++ b/balancer/src/seats.rs
@@ -11,16 +11,10 @@
 /// What stands in a seat is no longer than this.
 const SEAT_MAX: u64 = 256;
 /// Notes are no longer than this.
-pub const NOTES_MAX: usize = 1 << 20;
+const NOTES_MAX: usize = 1 << 20;
 /// The form of the notes; another one is not read.
 const VERSION: u32 = 1;
 
-#[derive(Serialize, Deserialize)]
-struct Seat {
-    process: String,
-    ready: bool,
-}
-
 #[derive(Serialize, Deserialize)]
 struct Notes<T> {
     version: u32,
@@ -64,7 +58,7 @@
 
     fn write(&mut self) {
         let Some(own) = self.own else { return };
-        let seat = Seat { process: self.process.clone(), ready: self.ready };
+        let seat = Other { process: self.process.clone(), ready: self.ready };
         let text = serde_json::to_vec(&seat).unwrap_or_default();
         let file = &mut self.files[own];
         let written =
@@ -95,8 +89,7 @@
         }
         let mut text = Vec::new();
         let read = file.seek(SeekFrom::Start(0)).and_then(|_| file.take(SEAT_MAX).read_to_end(&mut text));
-        let seat: Option<Seat> = read.ok().and_then(|_| serde_json::from_slice(&text).ok());
-        Some(seat.map_or(unknown, |s| Other { process: s.process, ready: s.ready }))
+        Some(read.ok().and_then(|_| serde_json::from_slice(&text).ok()).unwrap_or(unknown))
     }
 
     /// Whether notes lie there that nobody has looked at yet; whom they are for is only known once they are read.
--- a/balancer/src/upstream_group.rs
+++ b/balancer/src/upstream_group.rs
@@ -145,6 +145,11 @@
         }
     }
 
+    /// The version of the list that is known, if one is.
+    pub fn seq(&self) -> Option<u64> {
+        self.seq
+    }
+
     /// The whole list as it is known, if one is.
     pub fn list(&self) -> Option<HostList> {
         Some(HostList { seq: self.seq?, whole: true, hosts: self.hosts.values().cloned().collect() })
