Watch the agent where lists are pushed: no change of the list was ever read there

A probe in the agent's place (it counts calls and ends each at once): 0 calls in 5 s by the program before, 45 by this one.

On sockets they come only over a watch, and event_loop.rs began one for that action alone.

The program now begins the watch itself in that mode (upstream_group, agent: the pace). A watch that stood for more than a quarter of the grace is followed at once, others after 10 ms, doubling up to that quarter: an agent costs nothing, and what it has counts as told. The module is told of no failed call there. Not taken: having the module ask, whose back-off is meant for a service that all share.

--- a/balancer/src/event_loop.rs
+++ b/balancer/src/event_loop.rs
@@ -2,6 +2,7 @@
 
 mod upgrade;
 
+use crate::agent::Pace;
 use crate::config::Config;
 use crate::counters::{Counters, Step};
 use crate::decide::{Decide, phase, server_id};
@@ -17,7 +18,7 @@
 use crate::timers::{Clock, Due, MS, Timers};
 use crate::tries::{Answer, Tries};
 use crate::upstream_group::{GroupEvent, HostList, UpstreamGroup};
-use finchyard::{Action, Brain, Event, Nanos, Outcome, Phase, RequestId, Token, Why, Withheld};
+use finchyard::{Action, Brain, Discovery, Event, Nanos, Outcome, Phase, RequestId, Token, Why, Withheld};
 use polling::Events;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use std::collections::{BTreeSet, VecDeque};
@@ -99,6 +100,8 @@
         let transport = config.transport;
         let known = config.known.take();
         let life = LifeCycle::new(config.socket_fd.is_some());
+        let grace = config.settings.rules.drain_grace;
+        let pace = (config.settings.discovery == Discovery::Pushed).then(|| Pace::new(grace));
         let management = |address| {
             let key = "configuration: management (GW_MANAGEMENT)";
             Management::listen(&poll, address)
@@ -114,7 +117,7 @@
             )?,
             seats: take_seat(&config, now),
             hand_over: HandOver::new(),
-            group: UpstreamGroup::new(&poll, config.discovery),
+            group: UpstreamGroup::new(&poll, config.discovery, pace),
             peers: Peers::new(&poll, for_peers, transport.connect_timeout, transport.conn_idle),
             decide: Decide::new(brain, config.names.clone()),
             tries: Tries::default(),
@@ -139,6 +142,9 @@
             // none is sent to who isn't ready.
             None => me.news.push(Event::Timer(Token(0))),
         }
+        if me.group.is_pushed() {
+            me.watch(now);
+        }
         Ok(me)
     }
 
@@ -245,6 +251,7 @@
                 self.group.due(now, number, &mut self.timers, &mut events, &mut self.counters);
                 self.group_events(events);
             }
+            Due::Watch => self.watch(now),
             Due::Sweep => {
                 let mut events = Vec::new();
                 self.front.sweep(now, &mut events, &mut self.counters);
@@ -389,14 +396,23 @@
         for event in events {
             match event {
                 GroupEvent::News(list) => self.list(list, false),
-                GroupEvent::Failed => {
-                    let entries = Vec::new();
-                    self.news.push(Event::List { scope: finchyard::ListScope::Failed, entries });
-                }
+                GroupEvent::Failed => match self.group.again(self.clock.now()) {
+                    Some(at) => self.timers.set(at, Due::Watch),
+                    None => {
+                        let entries = Vec::new();
+                        self.news.push(Event::List { scope: finchyard::ListScope::Failed, entries });
+                    }
+                },
             }
         }
     }
 
+    /// Begins a watch, unless one is open.
+    fn watch(&mut self, now: Nanos) {
+        let failed = self.group.watch(now, &mut self.timers, &mut self.counters);
+        self.group_events(failed.into_iter().collect());
+    }
+
     /// Tells the module of a list, and the pools what it says of their peers.
     fn list(&mut self, list: HostList, stale: bool) {
         let now = self.clock.now();
@@ -534,10 +550,7 @@
                 );
             }
             Action::Close(server) => self.peers.close_idle(server, &mut self.counters),
-            Action::Watch => {
-                let failed = self.group.watch(now, &mut self.timers, &mut self.counters);
-                self.group_events(failed.into_iter().collect());
-            }
+            Action::Watch => self.watch(now),
             Action::Timer { after, token } => self.timers.set(now.saturating_add(after), Due::Module(token)),
             Action::Log(text) => log::info!("{text}"),
         }
--- a/balancer/src/main.rs
+++ b/balancer/src/main.rs
@@ -3,6 +3,7 @@
 //! carry out what it says, and the front answers. No decision is taken here; they are all finchyard's.
 #![deny(unsafe_code)]
 
+mod agent;
 mod config;
 mod counters;
 mod decide;
--- a/balancer/src/timers.rs
+++ b/balancer/src/timers.rs
@@ -42,6 +42,8 @@
     Stall(u64),
     /// A connection to discovery has been silent for long, by its number.
     Discovery(u64),
+    /// The next watch begins where lists are pushed.
+    Watch,
     /// Idle and stuck connections are looked for.
     Sweep,
     /// Look for the other process of an upgrade.
--- a/balancer/src/upstream_group.rs
+++ b/balancer/src/upstream_group.rs
@@ -1,5 +1,6 @@
 //! The upstream group: discovery's list of peers, and the watch that keeps it fresh.
 
+use crate::agent::Pace;
 use crate::counters::Counters;
 use crate::poll::{Poll, Ready, Source, Watched, connect};
 use crate::timers::{Due, MS, Timers};
@@ -111,13 +112,17 @@
     seq: Option<u64>,
     /// All that are listed, as of that version, by name.
     hosts: BTreeMap<String, Host>,
-    /// The module wants a watch.
+    /// A watch was begun at some time, and is wanted from then on.
     wanted: bool,
+    /// When the last watch began.
+    begun: Nanos,
+    /// Where lists are pushed: the pace of watches. Elsewhere the module says when.
+    pace: Option<Pace>,
 }
 
 impl UpstreamGroup {
-    /// Nothing is asked yet.
-    pub fn new(poll: &Poll, address: SocketAddr) -> Self {
+    /// Nothing is asked yet. With a pace the address is an agent's, to which lists are pushed.
+    pub fn new(poll: &Poll, address: SocketAddr, pace: Option<Pace>) -> Self {
         let hosts = BTreeMap::new();
         UpstreamGroup {
             poll: poll.clone(),
@@ -127,9 +132,22 @@
             seq: None,
             hosts,
             wanted: false,
+            begun: 0,
+            pace,
         }
     }
 
+    /// Whether an agent is watched: from the start and without the module, to which its lists just come.
+    pub fn is_pushed(&self) -> bool {
+        self.pace.is_some()
+    }
+
+    /// Where an agent is watched: when to begin anew, after a watch that has ended.
+    pub fn again(&mut self, now: Nanos) -> Option<Nanos> {
+        let wait = self.pace.as_mut()?.ended(now.saturating_sub(self.begun));
+        Some(now + wait)
+    }
+
     /// Takes over what is listed now, from discovery or from before.
     pub fn learn(&mut self, list: &HostList) {
         self.seq = Some(list.seq);
@@ -162,6 +180,7 @@
             return None;
         }
         counters.list_calls += 1;
+        self.begun = now;
         let number = self.next_call;
         self.next_call += 1;
         match self.connect(number) {
@@ -413,7 +432,7 @@
         let poll = Poll::new().unwrap();
         for (up, answer, given_up) in [(false, "", CONNECT), (true, "", SILENCE_BEFORE), (true, "x", SILENCE)]
         {
-            let mut group = UpstreamGroup::new(&poll, listener.local_addr().unwrap());
+            let mut group = UpstreamGroup::new(&poll, listener.local_addr().unwrap(), None);
             let (mut timers, mut counters, mut events) = (Timers::default(), Counters::default(), Vec::new());
             assert!(group.watch(0, &mut timers, &mut counters).is_none());
             let mut discovery = listener.accept().unwrap().0;
@@ -436,7 +455,7 @@
     #[test]
     fn the_list_that_is_handed_over_is_the_last_whole_one_with_its_changes() {
         let list = |text: &str| serde_json::from_str::<HostList>(text).unwrap();
-        let mut group = UpstreamGroup::new(&Poll::new().unwrap(), "127.0.0.1:1".parse().unwrap());
+        let mut group = UpstreamGroup::new(&Poll::new().unwrap(), "127.0.0.1:1".parse().unwrap(), None);
         assert!(group.list().is_none());
         group.learn(&list(r#"{"seq":3,"whole":true,"hosts":[{"host":"z"}]}"#));
         group.learn(&list(r#"{"seq":4,"whole":true,"hosts":[{"host":"a","dial":"x:1"},{"host":"b"}]}"#));
--- a/balancer/tests/exchanges.rs
+++ b/balancer/tests/exchanges.rs
@@ -11,7 +11,7 @@
 //! | `NAME next` | it takes the program's next connection; the one it has is `former-NAME` from now on |
 //! | `NAME down` | it takes no connections any more |
 //! | `signal TERM` | the program gets this signal |
-//! | `file OLD => NEW` | in the configuration file OLD becomes NEW |
+//! | `file OLD => NEW` | in the configuration file OLD becomes NEW; before all other steps: the program starts so |
 //! | `log TEXT` | the program's next log line with this text comes |
 //! | `exit` | the program must end with exit code 0 |
 //!
@@ -61,12 +61,16 @@
 }
 
 impl Stage {
-    fn set(story: &Path) -> Stage {
+    fn set(story: &Path, given: &[(&str, &str)]) -> Stage {
         let listen = || TcpListener::bind("127.0.0.1:0").expect("a free port");
         let listeners = HashMap::from([("cache", listen()), ("discovery", listen()), ("registry", listen())]);
-        let text = CONFIG
+        let mut text = CONFIG
             .replace("DISCOVERY", &local(&listeners["discovery"]))
             .replace("CACHE", &local(&listeners["cache"]));
+        for (old, new) in given {
+            assert!(text.contains(old), "{old} in {text}");
+            text = text.replace(old, new);
+        }
         let story = story.file_stem().expect("a story").to_string_lossy().into_owned();
         let config = std::env::temp_dir().join(format!("pipitrun-{}-{story}.json", std::process::id()));
         std::fs::write(&config, text).expect("a place for the configuration");
@@ -184,14 +188,16 @@
 #[rstest]
 fn the_program_keeps_to_the_record(#[files("tests/exchanges/*.txt")] story: PathBuf) {
     let text = std::fs::read_to_string(&story).expect("the story can be read");
-    let mut stage = Stage::set(&story);
+    let steps: Vec<_> =
+        text.lines().enumerate().filter(|(_, l)| !l.is_empty() && !l.starts_with('#')).collect();
+    let given = steps.iter().map_while(|(_, line)| line.strip_prefix("file ")?.split_once(" => "));
+    let given: Vec<_> = given.collect();
+    let mut stage = Stage::set(&story, &given);
     let address = |(name, listener): (&&str, &TcpListener)| (name.to_uppercase(), local(listener));
     let addresses: Vec<_> = stage.listeners.iter().map(address).collect();
-    for (at, line) in text.lines().enumerate() {
-        if !line.is_empty() && !line.starts_with('#') {
-            // The step is printed first, so that a failure names its line.
-            println!("line {}: {line}", at + 1);
-            stage.step(&addresses.iter().fold(line.to_string(), |line, (name, at)| line.replace(name, at)));
-        }
+    for (at, line) in &steps[given.len()..] {
+        // The step is printed first, so that a failure names its line.
+        println!("line {}: {line}", at + 1);
+        stage.step(&addresses.iter().fold(line.to_string(), |line, (name, at)| line.replace(name, at)));
     }
 }
