Judge crowding by the aim too, and a cache's room by what it holds; heed guesses at the work

At fault in src/brain.rs: judge() cut the limit for each such rejection (REJECT_CUT) though it says nothing of room for hits, and counted as crowded whatever took 1.8 times the unloaded answer, however far under the aim: right where answers take a twentieth of it by luck, not where work is 37 to 67 ms. NewRequest::work was never read, and sockets never passed it on.

Now a rejection cuts only for a key that the cache most likely holds; a wait under 0.13 of the shortest aim lets a limit grow and one under 0.2 does not shrink it; where clients guess the work (h, predicted_ns), heavy work is drawn to quick caches.

--- a/balancer/src/decide.rs
+++ b/balancer/src/decide.rs
@@ -54,7 +54,7 @@
             tenant: incoming.tenant.as_ref().and_then(|t| place(&self.names.tenants, t)).map(TenantId),
             key: Some(key(&incoming.order.key)),
             patience: incoming.patience,
-            work: None,
+            work: incoming.work,
             write: incoming.order.value.is_some(),
         }))
     }
--- a/balancer/src/front/resp.rs
+++ b/balancer/src/front/resp.rs
@@ -51,6 +51,8 @@
 const HALF_LEAST: Nanos = 1_000 * MS;
 /// With more than this part of the places taken by those, they alone make room for newcomers.
 const MUTE_PART: usize = 4;
+/// The most work that a client may guess, in microseconds: more than an hour is no guess.
+const HINT_MAX: f64 = 3.6e9;
 /// No client waits longer than this.
 const PATIENCE_MAX: f64 = 3_600_000.0;
 
@@ -630,13 +632,18 @@
         return Err("key or id is empty".into());
     }
     let fields = std::str::from_utf8(fields).map_err(|_| "fields are not UTF-8".to_string())?;
-    let (mut class, mut tenant, mut patience, mut kept) = (None, None, None, Vec::new());
+    let (mut class, mut tenant, mut patience, mut work, mut kept) = (None, None, None, None, Vec::new());
     for field in fields.split(',').filter(|f| !f.is_empty()) {
         let (name, text) = field.split_once('=').ok_or_else(|| format!("field '{field}' has no value"))?;
         match name {
             "c" => class = Some(text.to_string()),
             "t" => tenant = Some(text.to_string()),
             "d" => patience = Some(text),
+            // A guess, in microseconds: one that makes no sense is none.
+            "h" => {
+                let us = text.parse::<f64>().ok().filter(|us| (1.0..=HINT_MAX).contains(us));
+                work = us.map(|us| (us * 1_000.0) as Nanos);
+            }
             _ => {}
         }
         if name != "d" {
@@ -655,7 +662,7 @@
     }
     let patience = (ms * MS as f64) as Nanos;
     let order = Order { value, key: key.to_vec(), id: id.to_vec(), fields: kept };
-    Ok(Incoming { ticket, class, tenant, patience, order })
+    Ok(Incoming { ticket, class, tenant, patience, work, order })
 }
 
 fn error(text: &str) -> Vec<u8> {
--- a/balancer/src/front/resp/tests.rs
+++ b/balancer/src/front/resp/tests.rs
@@ -288,3 +288,22 @@
     front.finish(0, request, false, 3, &mut events, &mut counters);
     assert!(front.is_empty() && matches!(events[..], [FrontEvent::Gone(r)] if r != request));
 }
+
+#[test]
+fn a_guess_at_the_work_is_taken_and_passed_on_and_one_that_makes_no_sense_is_only_passed_on() {
+    let read = |h: &str| {
+        let fields = format!("c=read,h={h},d=480");
+        let ticket = Ticket { request: finchyard::RequestId(1), connection: 0 };
+        request([b"key", b"id", fields.as_bytes()], None, ticket).unwrap()
+    };
+    for (h, work) in
+        [("48000", Some(48 * MS)), ("0.5", None), ("1.5", Some(1_500)), ("3600000000", Some(3_600_000 * MS))]
+    {
+        assert_eq!(read(h).work, work, "{h}");
+    }
+    for h in ["", "0", "-5", "inf", "NaN", "3600000001", "soon"] {
+        let incoming = read(h);
+        assert_eq!(incoming.work, None, "{h}");
+        assert_eq!(incoming.order.fields[1], ("h".to_string(), h.to_string()));
+    }
+}
--- a/balancer/src/request.rs
+++ b/balancer/src/request.rs
@@ -24,6 +24,8 @@
     pub tenant: Option<String>,
     /// How long the client waits.
     pub patience: Nanos,
+    /// The client's guess at the work on a standard core, if it gives one.
+    pub work: Option<Nanos>,
     /// What is passed on.
     pub order: Order,
 }
--- a/balancer/src/tries.rs
+++ b/balancer/src/tries.rs
@@ -328,7 +328,10 @@
         let (mut tries, mut counters) = (Tries::default(), Counters::default());
         let order = Order { value: None, key: b"k".to_vec(), id: b"i".to_vec(), fields: Vec::new() };
         let ticket = Ticket { request: RequestId(1), connection: 0 };
-        tries.take(0, Incoming { ticket, class: String::new(), tenant: None, patience: 100 * MS, order });
+        tries.take(
+            0,
+            Incoming { ticket, class: String::new(), tenant: None, patience: 100 * MS, work: None, order },
+        );
         assert!(tries.is_open(b"i") && !tries.is_open(b"j"));
         let first = (RequestId(1), AttemptNo(0));
         assert!(tries.start(0, first, ServerId(1), None, &mut counters).is_ok());
@@ -347,7 +350,10 @@
             let (mut tries, mut counters) = (Tries::default(), Counters::default());
             let order = Order { value: None, key: b"k".to_vec(), id: b"i".to_vec(), fields: Vec::new() };
             let ticket = Ticket { request: RequestId(1), connection: 0 };
-            tries.take(0, Incoming { ticket, class: String::new(), tenant: None, patience, order });
+            tries.take(
+                0,
+                Incoming { ticket, class: String::new(), tenant: None, patience, work: None, order },
+            );
             // Peers that answer within 0.1 ms have the module give a try up after a fraction of one.
             let first = (RequestId(1), AttemptNo(0));
             let started = tries.start(0, first, ServerId(1), Some(MS / 4), &mut counters);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -38,7 +38,9 @@
 const BACKOFF: Nanos = 1_000 * MS; // First wait before a suspected server gets a trial; doubles each time.
 const BACKOFF_MAX: Nanos = 8_000 * MS; // Longest such wait, about what a restart takes to be listed.
 const LATENCY_GAIN: f64 = 0.1; // Weight of a new sample in a server's mean latency.
+const PACE_GAIN: f64 = 0.05; // The same in how long its answers take for the work that was guessed.
 const HOLDER_WEIGHT: f64 = 1e4; // Draw weight of a server that answered the key lately: far over others.
+const HEAVY: f64 = 30.0; // Work guessed to take a thirtieth of the aim halves a draw weight.
 const HITS_START: f64 = 0.5; // Hit share of a server until told, the same for all.
 /// Hit share of a rank until told: routers that see too little to be told gather at first ranks all the same.
 const RANK_HITS: [f64; CANDIDATES] = [0.9, 0.5, 0.5];
@@ -57,8 +59,10 @@
 const LIMIT_STEP_HIGH: f64 = 0.05; // Beyond the knee: a surge choked all servers before latency told of it.
 const EASY: f64 = 1.2; // Mean latency over the unloaded one up to which a limit grows ...
 const CROWDED: f64 = 1.8; // ... and from which on it shrinks,
+const EASY_PART: f64 = 0.13; // The same as parts of the shortest aim, if that is more: a wait that no
+const CROWDED_PART: f64 = 0.2; // answer is late for is no reason to refuse, however quick it is alone.
 const CROWDED_CUT: f64 = 0.92; // by this factor for an answer,
-const REJECT_CUT: f64 = 0.7; // and by this one for a rejection or time-out.
+const REJECT_CUT: f64 = 0.7; // and by this one for a time-out, or a rejection of what it most likely holds.
 const BASE_CREEP: f64 = 0.0003; // The unloaded latency creeps up so each answer, to forget a lucky low.
 const ORIGIN_CUT: f64 = 0.9; // An error's factor on the share of reads with unknown keys let through.
 const ORIGIN_RISE: f64 = 0.02; // A working fetch's: it settles where a sixth fail; rare errors are borne.
@@ -88,86 +92,7 @@
     Server { cold_budget: fill, cold_budget_at: now, ..told }
 }
 
-/// The decisions of one router.
-pub struct Brain {
-    settings: Settings,
-    now: Nanos,
-    /// Root of the number of routers: each may at times use more than its even part.
-    crowd: f64,
-    /// What the event at hand has led to so far.
-    actions: Vec<Action>,
-    rng: Xoshiro256PlusPlus,
-    servers: BTreeMap<ServerId, Server>,
-    /// Candidates of each slot, filled when first needed, emptied when the list changes.
-    slots: BTreeMap<usize, Vec<ServerId>>,
-    total_weight: f64,
-    /// The same with cold servers at their present share.
-    ready_weight: f64,
-    mean_weight: f64,
-    requests: BTreeMap<RequestId, Request>,
-    held: BTreeSet<RequestId>,
-    timers: BTreeMap<u64, Timer>,
-    next_token: u64,
-    record: Record,
-    /// Most of the fleet is suspected: the fault is elsewhere, suspicion says nothing.
-    suspicion_void: bool,
-    /// Share of attempts, anywhere, that lately came to nothing.
-    bad: f64,
-    /// The middle one of the servers' mean latencies.
-    usual: f64,
-    copy_budget: f64,
-    retry_budget: f64,
-    fetch: Mean,
-    hits: [f64; CANDIDATES],
-    origin_room: f64,
-    known: Known,
-    /// Requests that came, those that took a server's time or were spared it, and those served usefully.
-    asked: Rate,
-    taken: Rate,
-    served: Rate,
-    tenants: Vec<Rate>,
-    call_backoff: Nanos,
-}
-
 impl Brain {
-    /// A router's decisions from its start at `now`; the error names the setting that makes no sense.
-    pub fn new(settings: Settings, seed: u64, now: Nanos) -> Result<Self, SettingsError> {
-        settings.check()?;
-        let tenants = settings.tenants.iter().map(|_| Rate::new(RATE_TAU, now)).collect();
-        let crowd = (settings.routers as f64).sqrt();
-        Ok(Brain {
-            now,
-            crowd,
-            actions: Vec::new(),
-            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
-            servers: BTreeMap::new(),
-            slots: BTreeMap::new(),
-            total_weight: 0.0,
-            ready_weight: 0.0,
-            mean_weight: 1.0,
-            requests: BTreeMap::new(),
-            held: BTreeSet::new(),
-            timers: BTreeMap::new(),
-            next_token: 0,
-            record: Record::new(MEMORY, QUANTILE),
-            suspicion_void: false,
-            bad: 0.0,
-            usual: f64::MAX / SLOW,
-            copy_budget: COPY_BURST / crowd,
-            retry_budget: RETRY_BURST / crowd,
-            fetch: Mean::default(),
-            hits: RANK_HITS,
-            origin_room: 1.0,
-            known: Known::new(KNOWN_FOR, now),
-            asked: Rate::new(RATE_TAU, now),
-            taken: Rate::new(RATE_TAU, now),
-            served: Rate::new(RATE_TAU, now),
-            tenants,
-            call_backoff: CALL_BACKOFF,
-            settings,
-        })
-    }
-
     /// Takes one event and appends what is to be done, in order.
     pub fn handle(&mut self, now: Nanos, event: Event, actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -346,19 +271,21 @@
     }
 
     /// Draw weight: by the hit share that the server reports and that answers told at this rank, steeply, so
-    /// that a key's reads gather where it is held; cut by a cold start.
-    fn draw_weight(&self, s: &Server, rank: usize) -> f64 {
+    /// that a key's reads gather where it is held; cut by a cold start and, where clients guess the work, by
+    /// how much of the aim it takes there: heavy work is for the quick.
+    fn draw_weight(&self, s: &Server, rank: usize, work: Option<Nanos>) -> f64 {
         let misses = (1.0 - self.hits[rank]).max(LEAST_MISSES).powi(GATHER);
-        self.ramp(&s.entry) * s.hits.max(LEAST_WEIGHT) / misses
+        let takes = work.and_then(|w| s.pace.expect(w as f64)).unwrap_or(0.0);
+        self.ramp(&s.entry) * s.hits.max(LEAST_WEIGHT) / misses / (1.0 + HEAVY * takes / self.aim.max(1.0))
     }
 
     /// Two draws among the fit candidates; fewer of our requests in flight wins, on a tie the better rank.
     /// Who holds the key most likely hits, others miss: a fetch they would have to make counts as one in
     /// flight. For a key that nobody answered here, the first rank is where other routers ask for it.
-    fn draw(&mut self, fit: &[(usize, ServerId)], key: Option<Key>) -> Option<ServerId> {
+    fn draw(&mut self, fit: &[(usize, ServerId)], key: Option<Key>, work: Option<Nanos>) -> Option<ServerId> {
         let weigh = |(rank, id): &(usize, ServerId)| {
-            let told = self.draw_weight(&self.servers[id], *rank);
-            (*rank, *id, if self.known.held(key, *id) { told.max(HOLDER_WEIGHT) } else { told })
+            let told = self.draw_weight(&self.servers[id], *rank, work);
+            (*rank, *id, if self.known.held(key, *id) { told * HOLDER_WEIGHT } else { told })
         };
         let (mut pool, mut drawn): (Vec<_>, Vec<_>) = (fit.iter().map(weigh).collect(), Vec::new());
         while drawn.len() < 2 && !pool.is_empty() {
@@ -399,7 +326,7 @@
         if !self.suspicion_void && open.iter().any(|(_, id)| self.is_calm(*id)) {
             open.retain(|(_, id)| self.is_calm(*id));
         }
-        if let Some(id) = self.draw(&open, r.new.key) {
+        if let Some(id) = self.draw(&open, r.new.key, r.new.work) {
             return Pick::To(id);
         }
         // Room comes within milliseconds, a cold one's due within seconds: if the first lacks that, go on.
@@ -799,6 +726,12 @@
         let size = self.size(end.server);
         let knee = LIMIT_START / self.crowd * size;
         let telling = self.requests.get(&end.request).is_none_or(|r| self.tells(&r.new));
+        // With no place for another fetch a server still serves hits: that says nothing of its room.
+        let holds = |r: &Request| !r.new.write && self.known.held(r.new.key, end.server);
+        let fetches =
+            self.settings.origin == Origin::Through && !self.requests.get(&end.request).is_some_and(holds);
+        let work = self.requests.get(&end.request).and_then(|r| r.new.work);
+        let aim = self.aim;
         let Some(s) = self.servers.get_mut(&end.server) else { return };
         let before = s.strikes;
         let Some(at) = s.out.iter().position(|o| (o.1, o.2) == (end.request, end.attempt)) else { return };
@@ -821,11 +754,14 @@
                 let hit = end.note.is_none_or(|n| n == CacheNote::Hit);
                 if hit {
                     s.latency.add(end.latency as f64, LATENCY_GAIN, BASE_CREEP);
+                    work.iter().for_each(|w| s.pace.add(end.latency as f64, *w as f64, PACE_GAIN));
                 }
                 let mean = if hit { &s.latency } else { &self.fetch };
-                if hit && mean.now > CROWDED * mean.base {
+                if hit && mean.now > (CROWDED * mean.base).max(CROWDED_PART * aim) {
                     s.limit = (s.limit * CROWDED_CUT).max(LIMIT_MIN);
-                } else if mean.now < EASY * mean.base && s.out.len() as f64 + 1.0 >= s.limit {
+                } else if mean.now < (EASY * mean.base).max(if hit { EASY_PART * aim } else { 0.0 })
+                    && s.out.len() as f64 + 1.0 >= s.limit
+                {
                     // Only a limit that was reached has shown that it may grow.
                     let low = if hit { LIMIT_STEP } else { LIMIT_STEP_MISS };
                     let step = if s.limit > knee { LIMIT_STEP_HIGH } else { low };
@@ -840,7 +776,7 @@
             // What can't be read, or suits no server, speaks against none.
             Outcome::Full | Outcome::Cancelled | Outcome::Moot | Outcome::Unknown | Outcome::Unfit => {}
         }
-        if end.outcome == Outcome::Full || end.outcome == Outcome::Timeout && telling {
+        if end.outcome == Outcome::Full && !fetches || end.outcome == Outcome::Timeout && telling {
             s.limit = (s.limit * REJECT_CUT).max(LIMIT_MIN);
         }
         let full = f64::from(end.outcome == Outcome::Full);
@@ -997,8 +933,10 @@
 
 mod learnt;
 mod plumbing;
+mod tables;
 mod why;
 pub use learnt::Learnt;
+pub use tables::Brain;
 
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/src/brain/tables.rs
@@ -0,0 +1,88 @@
+//! The tables of one router, and how they stand at its start. Nothing is decided here.
+
+use super::*;
+
+/// The decisions of one router.
+pub struct Brain {
+    pub(super) settings: Settings,
+    pub(super) now: Nanos,
+    /// Root of the number of routers: each may at times use more than its even part.
+    pub(super) crowd: f64,
+    /// The shortest aim of a class.
+    pub(super) aim: f64,
+    /// What the event at hand has led to so far.
+    pub(super) actions: Vec<Action>,
+    pub(super) rng: Xoshiro256PlusPlus,
+    pub(super) servers: BTreeMap<ServerId, Server>,
+    /// Candidates of each slot, filled when first needed, emptied when the list changes.
+    pub(super) slots: BTreeMap<usize, Vec<ServerId>>,
+    pub(super) total_weight: f64,
+    /// The same with cold servers at their present share.
+    pub(super) ready_weight: f64,
+    pub(super) mean_weight: f64,
+    pub(super) requests: BTreeMap<RequestId, Request>,
+    pub(super) held: BTreeSet<RequestId>,
+    pub(super) timers: BTreeMap<u64, Timer>,
+    pub(super) next_token: u64,
+    pub(super) record: Record,
+    /// Most of the fleet is suspected: the fault is elsewhere, suspicion says nothing.
+    pub(super) suspicion_void: bool,
+    /// Share of attempts, anywhere, that lately came to nothing.
+    pub(super) bad: f64,
+    /// The middle one of the servers' mean latencies.
+    pub(super) usual: f64,
+    pub(super) copy_budget: f64,
+    pub(super) retry_budget: f64,
+    pub(super) fetch: Mean,
+    pub(super) hits: [f64; CANDIDATES],
+    pub(super) origin_room: f64,
+    pub(super) known: Known,
+    /// Requests that came, those that took a server's time or were spared it, and those served usefully.
+    pub(super) asked: Rate,
+    pub(super) taken: Rate,
+    pub(super) served: Rate,
+    pub(super) tenants: Vec<Rate>,
+    pub(super) call_backoff: Nanos,
+}
+
+impl Brain {
+    /// A router's decisions from its start at `now`; the error names the setting that makes no sense.
+    pub fn new(settings: Settings, seed: u64, now: Nanos) -> Result<Self, SettingsError> {
+        settings.check()?;
+        let tenants = settings.tenants.iter().map(|_| Rate::new(RATE_TAU, now)).collect();
+        let crowd = (settings.routers as f64).sqrt();
+        let aim = settings.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64;
+        Ok(Brain {
+            now,
+            crowd,
+            aim,
+            actions: Vec::new(),
+            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+            servers: BTreeMap::new(),
+            slots: BTreeMap::new(),
+            total_weight: 0.0,
+            ready_weight: 0.0,
+            mean_weight: 1.0,
+            requests: BTreeMap::new(),
+            held: BTreeSet::new(),
+            timers: BTreeMap::new(),
+            next_token: 0,
+            record: Record::new(MEMORY, QUANTILE),
+            suspicion_void: false,
+            bad: 0.0,
+            usual: f64::MAX / SLOW,
+            copy_budget: COPY_BURST / crowd,
+            retry_budget: RETRY_BURST / crowd,
+            fetch: Mean::default(),
+            hits: RANK_HITS,
+            origin_room: 1.0,
+            known: Known::new(KNOWN_FOR, now),
+            asked: Rate::new(RATE_TAU, now),
+            taken: Rate::new(RATE_TAU, now),
+            served: Rate::new(RATE_TAU, now),
+            tenants,
+            call_backoff: CALL_BACKOFF,
+            settings,
+        })
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! What a router remembers of its servers and requests: the records that `brain.rs` decides by. No decisions.
 
 use crate::api::*;
-use crate::stats::Mean;
+use crate::stats::{Mean, Pace};
 
 /// Candidates of a slot.
 pub(crate) const CANDIDATES: usize = 3;
@@ -16,6 +16,7 @@
     /// Nothing is out since then, but a connection may stand.
     pub(crate) idle_since: Option<Nanos>,
     pub(crate) latency: Mean,
+    pub(crate) pace: Pace,
     /// Share of hits that it reports.
     pub(crate) hits: f64,
     pub(crate) limit: f64,
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -96,6 +96,24 @@
     }
 }
 
+/// How long answers take for the work that clients guess: a mean over a mean, as one guess says little.
+#[derive(Default)]
+pub(crate) struct Pace {
+    took: f64,
+    work: f64,
+}
+
+impl Pace {
+    pub(crate) fn add(&mut self, took: f64, work: f64, gain: f64) {
+        self.took += gain * (took - self.took);
+        self.work += gain * (work - self.work);
+    }
+    /// How long this much work takes, once something is known.
+    pub(crate) fn expect(&self, work: f64) -> Option<f64> {
+        (self.work > 0.0).then(|| work * self.took / self.work)
+    }
+}
+
 /// A count of happenings that decays with a time constant.
 pub(crate) struct Rate {
     count: f64,
