Send a read on to another cache when its three candidates refuse connections

At fault: src/brain.rs, on_ended, which looked beyond the three only after rejections and time-outs. A test brings it about: it saw [9, 2, 8, 9, 9] before.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -589,8 +589,10 @@
                 return self.finish(r, reason);
             }
             self.retry_budget -= if free { 0.0 } else { 1.0 };
+            // Who refused a connection refuses the next at once: all attempts go within a millisecond.
+            let elsewhere = crowded || end.outcome == Outcome::ConnectFailed;
             match calm {
-                Some(id) if crowded => self.send(r, id, false),
+                Some(id) if elsewhere => self.send(r, id, false),
                 _ => self.advance(r),
             }
         }
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -430,6 +430,25 @@
     assert!(heavy < 700, "{heavy}");
 }
 
+#[test]
+fn where_all_three_refuse_connections_a_read_goes_on_to_others() {
+    let mut brain = brain(9);
+    brain.settings.limits.max_attempts = 6;
+    let three = candidates_of_9(&mut brain);
+    let mut sent = vec![sent_to(&read(&mut brain, 1)).expect("sent")];
+    while three.contains(&sent[sent.len() - 1]) {
+        let (request, attempt) = (RequestId(1), AttemptNo(sent.len() as u32 - 1));
+        let (server, outcome) = (sent[sent.len() - 1], Outcome::ConnectFailed);
+        let (latency, finished, note, load) = (0, false, None, None);
+        let end = Ended { request, attempt, server, outcome, latency, finished, note, load };
+        let mut actions = Vec::new();
+        brain.handle(brain.now, Event::Ended(end), &mut actions);
+        sent.push(sent_to(&actions).expect("not given up"));
+        assert!(sent.len() <= 4, "{sent:?}");
+    }
+    assert_eq!(sent.len(), 4, "each of the three once: {sent:?}");
+}
+
 #[test]
 fn an_error_is_retried_but_not_while_the_origin_is_in_distress_and_forgets_the_key() {
     for (room, retried) in [(1.0, true), (DISTRESS - 0.1, false)] {
