Name settings that are borne, leave late lines of the list, test both deployments' shapes

Read while going through every key of the settings (docs/design/deployments.md): a word for membership_mode that the program does not know counted as pushed lists, so that nothing was asked for; a line of the list older than the one before it was taken, which would bring back a cache that drains; an unknown health and a group of 0 were borne without a word. At fault: settings/src/lib.rs (translate), balancer/src/upstream_group.rs (lines), event_loop.rs (list).

Now an unknown or missing mode asks for lists, which suits both kinds; remarks are logged with their keys; a late line is counted (list_old), logged and left; an unknown health is logged. tests/deployments.rs plays 32 shapes of settings through the program: lists pushed or asked for, 0.5 and 2.5 s of grace, with and without tenants, guesses, probes and marks.

--- a/balancer/src/config.rs
+++ b/balancer/src/config.rs
@@ -48,6 +48,8 @@
     pub names: Names,
     /// What the network side needs of the settings.
     pub transport: Transport,
+    /// What the settings say that is borne and yet should be known.
+    pub remarks: Vec<String>,
 }
 
 /// An unusable configuration: which key, and what is wrong with it.
@@ -163,6 +165,7 @@
             text.parse().map_err(|_| wrong("GW_SOCKET_FD", problem()))
         };
         let socket_fd = variable("GW_SOCKET_FD").map(descriptor).transpose()?;
+        let remarks = file.settings.remarks();
         let (settings, names, transport) = file.settings.translate().map_err(|e| wrong("settings", e))?;
         settings.check().map_err(|e| wrong(&format!("settings.{}", key_of(&e)), e.problem))?;
         let figure = |key: &str, value: Option<f64>, default: usize, least: usize| match value {
@@ -186,6 +189,7 @@
             settings,
             names,
             transport,
+            remarks,
         })
     }
 }
@@ -203,6 +207,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use finchyard::Discovery;
 
     const GOOD: &str = r#"{"name":"n3","listen":"127.0.0.1:6379","discovery":"127.0.0.2:8500","seed":"ff",
         "limits":{"cores":1.0,"memory_mb":128,"sockets":512},
@@ -223,6 +228,29 @@
         assert_eq!(config.settings.limits.max_attempts, 3);
     }
 
+    #[test]
+    fn settings_that_are_borne_and_should_be_known_are_named() {
+        let told = |settings: &str| {
+            let text = GOOD.replace("\"settings\":{", &format!("\"settings\":{{{settings}"));
+            Config::parse(&text, |_| None).unwrap()
+        };
+        let sound = "\"group_size\":3,\"obligations\":{\"drain_grace_ns\":5},\"membership_mode\":";
+        for (mode, discovery) in [
+            ("automatic", Discovery::Pushed),
+            ("subscribe", Discovery::Asked { within: 0 }),
+            ("carrier", Discovery::Asked { within: 0 }),
+        ] {
+            let config = told(&format!("{sound}\"{mode}\","));
+            assert_eq!(config.settings.discovery, discovery);
+            let named = config.remarks.iter().filter(|r| r.contains("membership_mode: \"carrier\"")).count();
+            assert_eq!((named, config.remarks.len()), if mode == "carrier" { (1, 1) } else { (0, 0) });
+        }
+        let bare = told("");
+        let keys = ["membership_mode: \"\"", "group_size: 0", "obligations.drain_grace_ns: 0"];
+        assert!(bare.remarks.iter().zip(keys).all(|(r, key)| r.starts_with(key)), "{:?}", bare.remarks);
+        assert_eq!((bare.remarks.len(), bare.settings.routers), (3, 1));
+    }
+
     #[test]
     fn the_inherited_socket_is_told_by_number() {
         let fd = |text: &str| {
--- a/balancer/src/counters.rs
+++ b/balancer/src/counters.rs
@@ -145,6 +145,8 @@
     peers_closed,
     /// Messages of discovery taken.
     list_news,
+    /// Lines of the list that were left: of an older version than the line before.
+    list_old,
     /// Calls of discovery begun.
     list_calls,
     /// Calls of discovery that failed or ended.
--- a/balancer/src/event_loop.rs
+++ b/balancer/src/event_loop.rs
@@ -423,6 +423,13 @@
             let server = server_id(&host.host);
             let phase = phase(&host.health);
             listed.insert(server);
+            if phase == Phase::Draining && host.health != "terminating" {
+                let health = &host.health;
+                log::warn!(
+                    "upstream group: {}: health \"{health}\" is unknown; it gets nothing new",
+                    host.host
+                );
+            }
             match host.dial.parse() {
                 Ok(address) => {
                     if self.peers.set_address(server, address, &mut self.counters) {
--- a/balancer/src/main.rs
+++ b/balancer/src/main.rs
@@ -28,6 +28,7 @@
     let result =
         config::Config::load(|name| std::env::var(name).ok()).map_err(|e| e.to_string()).and_then(|config| {
             log::info!("{}: discovery is at {}", config.name, config.discovery);
+            config.remarks.iter().for_each(|remark| log::warn!("configuration: settings.{remark}"));
             log::debug!("{:?}", config.settings);
             event_loop::EventLoop::new(config)?.run()
         });
--- a/balancer/src/upstream_group.rs
+++ b/balancer/src/upstream_group.rs
@@ -100,6 +100,8 @@
     /// What of the answer's text has come since the last whole line.
     text: Vec<u8>,
     heard: Nanos,
+    /// The version of its last line.
+    seq: Option<u64>,
 }
 
 /// Discovery, and what it last said.
@@ -199,6 +201,7 @@
                     body: None,
                     text: Vec::new(),
                     heard: now,
+                    seq: None,
                 });
                 timers.set(now + CONNECT, Due::Discovery(number));
                 None
@@ -294,6 +297,19 @@
             let mut json = serde_json::Deserializer::from_slice(line);
             let list: HostList = serde_path_to_error::deserialize(&mut json)
                 .map_err(|e| format!("line of the list: {}: {}", e.path(), e.inner()))?;
+            // Within a watch versions only grow: an older line is late news, and would bring back what has gone. The
+            // first is taken whatever it says: discovery itself may count anew.
+            if call.seq.is_some_and(|seq| list.seq < seq) {
+                counters.list_old += 1;
+                log::warn!(
+                    "discovery at {}: a line of version {} is left, {:?} was told",
+                    self.address,
+                    list.seq,
+                    call.seq
+                );
+                continue;
+            }
+            call.seq = Some(list.seq);
             counters.list_news += 1;
             events.push(GroupEvent::News(list));
         }
--- /dev/null
+++ b/balancer/tests/deployments.rs
@@ -0,0 +1,95 @@
+//! The settings of either deployment's shape, through the program: lists asked for or pushed, a short or a long grace,
+//! with and without tenants, guesses at the work, probes and marks of retries. By each a read is served, with its fields
+//! passed on, and a cache that drains gets nothing new from the news on.
+
+mod common;
+
+use common::{PATIENCE, Program};
+use rstest::rstest;
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+
+const MS: u64 = 1_000_000;
+
+fn read_until(stream: &mut TcpStream, end: &str) -> String {
+    let mut text = Vec::new();
+    while !text.ends_with(end.as_bytes()) {
+        let mut byte = [0];
+        assert_eq!(stream.read(&mut byte).expect("it comes"), 1, "after {}", text.escape_ascii());
+        text.push(byte[0]);
+    }
+    String::from_utf8(text).expect("text")
+}
+
+fn taken(listener: &TcpListener) -> TcpStream {
+    let stream = listener.accept().expect("it connects").0;
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    stream
+}
+
+fn get(id: u32, fields: &str) -> String {
+    let (id, length) = (id.to_string(), fields.len());
+    format!("*4\r\n$5\r\nC.GET\r\n$1\r\na\r\n${}\r\n{id}\r\n${length}\r\n{fields}\r\n", id.len())
+}
+
+#[rstest]
+fn a_read_is_served_and_a_drain_is_heeded(
+    #[values("automatic", "subscribe")] mode: &str,
+    #[values(500, 2_500)] grace_ms: u64,
+    #[values("t=acme,", "")] tenant: &str,
+    #[values("h=48211,", "")] guess: &str,
+    #[values((true, ",r=1"), (false, ""))] (probes, mark): (bool, &str),
+) {
+    let listen = || TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let (cache, discovery) = (listen(), listen());
+    let address = |l: &TcpListener| l.local_addr().expect("an address").to_string();
+    let host = json!({"host": "s-1", "dial": address(&cache)});
+    let accounts =
+        if tenant.is_empty() { json!([]) } else { json!([{"name": "acme", "allowance_per_s": 9.0}]) };
+    let (aim, give_up) = if mode == "automatic" { (1_200, 2_500) } else { (300, 600) };
+    let config = json!({
+        "listen": "127.0.0.1:0", "discovery": address(&discovery), "seed": "2a",
+        "known": {"seq": 7, "whole": true, "hosts": [host]},
+        "settings": {
+            "membership_mode": mode, "group_size": 3, "accounts": accounts, "step_ns": 5 * MS,
+            "caps": {"max_attempts": 6, "may_probe": probes, "may_cancel": true, "second_copies": true},
+            "obligations": {"drain_grace_ns": grace_ms * MS, "must_ask_in_ns": 10_000 * MS, "grace_to_answer_ns": 20 * MS},
+            "profiles": [{"name": "read", "repeat": "safe", "goal_time_ns": aim * MS, "give_up_ns": give_up * MS, "worth": 1}],
+        },
+    });
+    let name = format!(
+        "pipitrun-{}-{mode}-{grace_ms}-{}-{}-{probes}.json",
+        std::process::id(),
+        tenant.len(),
+        guess.len()
+    );
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, config.to_string()).expect("a place for the configuration");
+    let program = Program::start(&path, &[]);
+    std::fs::remove_file(&path).expect("it was read");
+
+    let mut watch = taken(&discovery);
+    assert!(read_until(&mut watch, "\r\n\r\n").starts_with("GET /registry/instances?follow=1&since=7 "));
+    let mut client = program.client();
+    let fields = |d: &str| format!("c=read,{tenant}{guess}size=0.4{mark},d={d}");
+    client.write_all(get(1, &fields("900000")).as_bytes()).expect("it reads");
+    let mut one = taken(&cache);
+    let got = read_until(&mut one, "\r\n").replace("*4", "");
+    assert_eq!(got, "\r\n");
+    let passed = read_until(&mut one, ",d=");
+    let want = get(1, &fields(""));
+    let want = &want[want.rfind("c=read").expect("fields")..want.len() - 2];
+    assert!(passed.ends_with(want), "{passed} {want}");
+    one.write_all(b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n").expect("it reads");
+    assert_eq!(read_until(&mut client, "v\r\n"), "$1\r\nv\r\n");
+
+    let news =
+        json!({"seq": 8, "hosts": [{"host": "s-1", "dial": address(&cache), "health": "terminating"}]});
+    write!(watch, "HTTP/1.1 200 OK\r\n\r\n{news}\n").expect("it reads");
+    // The idle connection is closed with the news; whatever else was unread there is passed over.
+    let mut rest = Vec::new();
+    one.read_to_end(&mut rest).expect("closed in time");
+    client.write_all(get(2, &fields("900000")).as_bytes()).expect("it reads");
+    assert!(read_until(&mut client, "\r\n").starts_with("-BUSY"));
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -111,6 +111,8 @@
     pub max_open: usize,
 }
 
+const PUSHED: &str = "automatic";
+const ASKED: &str = "subscribe";
 const IDLE_DEFAULT: Nanos = 10_000_000_000;
 const CONNECT_DEFAULT: Nanos = 500_000_000;
 const OPEN_DEFAULT: usize = 10_000;
@@ -143,6 +145,27 @@
 }
 
 impl Setup {
+    /// What stands in the settings that is borne and yet should be known: the key, what it says, and what follows.
+    pub fn remarks(&self) -> Vec<String> {
+        let mut remarks = Vec::new();
+        let mode = self.membership_mode.as_str();
+        if ![PUSHED, ASKED].contains(&mode) {
+            remarks.push(format!(
+                "membership_mode: \"{mode}\" is no known way; lists are asked for as by \"{ASKED}\""
+            ));
+        }
+        if self.group_size == 0 {
+            remarks.push("group_size: 0 or missing; this balancer counts as the only one".into());
+        }
+        if self.obligations.drain_grace_ns == 0 {
+            remarks.push(
+                "obligations.drain_grace_ns: 0 or missing; what is under way at the news comes too late"
+                    .into(),
+            );
+        }
+        remarks
+    }
+
     /// What the brain is told, the names that only messages use, and what only the network side needs.
     pub fn translate(self) -> Result<(Settings, Names, Transport), String> {
         let transport = Transport {
@@ -167,9 +190,10 @@
                 ("aside", Some(kind)) => Origin::Aside { kind },
                 _ => Origin::Through,
             },
+            // Whatever else it says: to ask, with its back-off, suits both an agent and a service that all share.
             discovery: match self.membership_mode.as_str() {
-                "subscribe" => Discovery::Asked { within: self.obligations.must_ask_in_ns },
-                _ => Discovery::Pushed,
+                PUSHED => Discovery::Pushed,
+                _ => Discovery::Asked { within: self.obligations.must_ask_in_ns },
             },
             live_weights: self.weights == "live",
             limits: Limits {
