Look up the request that ended once, end a failed watch in one place, share the tests' accept

The known words for a cache's health stood in decide::phase and again in the loop: decide::known_phase holds them. The new test's accept had no time-out and would have hung where the one in exchanges.rs fails: that one is shared.

--- a/balancer/src/decide.rs
+++ b/balancer/src/decide.rs
@@ -86,10 +86,16 @@
 
 /// What the list says of a host. A word of a later version of the protocol gets nothing new: the cautious side.
 pub fn phase(health: &str) -> Phase {
+    known_phase(health).unwrap_or(Phase::Draining)
+}
+
+/// The same, for the words of this version.
+pub fn known_phase(health: &str) -> Option<Phase> {
     match health {
-        "in_service" => Phase::Up,
-        "terminated" => Phase::Removed,
-        _ => Phase::Draining,
+        "in_service" => Some(Phase::Up),
+        "terminating" => Some(Phase::Draining),
+        "terminated" => Some(Phase::Removed),
+        _ => None,
     }
 }
 
--- a/balancer/src/event_loop.rs
+++ b/balancer/src/event_loop.rs
@@ -5,7 +5,7 @@
 use crate::agent::Pace;
 use crate::config::Config;
 use crate::counters::{Counters, Step};
-use crate::decide::{Decide, phase, server_id};
+use crate::decide::{Decide, known_phase, phase, server_id};
 use crate::front::management::{Asked, CALLERS_MAX, Call, Management};
 use crate::front::resp::{FrontEvent, RespFront};
 use crate::hand_over::HandOver;
@@ -423,7 +423,7 @@
             let server = server_id(&host.host);
             let phase = phase(&host.health);
             listed.insert(server);
-            if phase == Phase::Draining && host.health != "terminating" {
+            if known_phase(&host.health).is_none() {
                 let health = &host.health;
                 log::warn!(
                     "upstream group: {}: health \"{health}\" is unknown; it gets nothing new",
--- a/balancer/src/upstream_group.rs
+++ b/balancer/src/upstream_group.rs
@@ -209,11 +209,7 @@
                 timers.set(now + CONNECT, Due::Discovery(number));
                 None
             }
-            Err(e) => {
-                self.complain(&e.to_string());
-                counters.list_failed += 1;
-                Some(GroupEvent::Failed)
-            }
+            Err(e) => Some(self.fail(&e.to_string(), counters)),
         }
     }
 
@@ -253,14 +249,15 @@
         // Whole lines that came before an end or an error still count.
         let result = self.lines(events, counters).and(result);
         if let Err(problem) = result {
-            self.complain(&problem);
-            self.fail(events, counters);
+            events.push(self.fail(&problem, counters));
         }
     }
 
-    /// Logs why a watch failed: the first after a line of the list, the second, the fourth and so on. An agent that is gone
-    /// for hours is called several times a second.
-    fn complain(&mut self, problem: &str) {
+    /// Ends a watch that failed. Why is logged the first time after a line of the list, the second, the fourth and so on:
+    /// an agent that is gone for hours is called several times a second.
+    fn fail(&mut self, problem: &str, counters: &mut Counters) -> GroupEvent {
+        self.call = None;
+        counters.list_failed += 1;
         self.failures = self.failures.saturating_add(1);
         let level = if self.failures.is_power_of_two() { log::Level::Warn } else { log::Level::Debug };
         log::log!(
@@ -269,12 +266,7 @@
             self.address,
             self.failures
         );
-    }
-
-    fn fail(&mut self, events: &mut Vec<GroupEvent>, counters: &mut Counters) {
-        self.call = None;
-        counters.list_failed += 1;
-        events.push(GroupEvent::Failed);
+        GroupEvent::Failed
     }
 
     /// Gives up a watch that has been silent for long: a machine that is cut off ends no connection.
@@ -297,8 +289,7 @@
             return timers.set(due, Due::Discovery(number));
         }
         let silent = now.saturating_sub(call.heard) / MS;
-        self.complain(&format!("silent for {silent} ms"));
-        self.fail(events, counters);
+        events.push(self.fail(&format!("silent for {silent} ms"), counters));
     }
 
     /// Takes the whole lines of the text that has come.
--- a/balancer/tests/common/mod.rs
+++ b/balancer/tests/common/mod.rs
@@ -3,11 +3,11 @@
 
 use std::ffi::OsStr;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, channel};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// After this a step has failed; no step of a working program comes near it.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -100,9 +100,25 @@
     stream
 }
 
+/// The program's next connection to this party, whose reads end in time.
+pub fn accept(listener: &TcpListener) -> TcpStream {
+    // std has no accept with a time-out.
+    listener.set_nonblocking(true).expect("it can be asked");
+    let asked = Instant::now();
+    while asked.elapsed() < PATIENCE {
+        if let Ok((stream, _)) = listener.accept() {
+            stream.set_nonblocking(false).expect("it can be waited for");
+            stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+            return stream;
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    panic!("the program does not connect")
+}
+
 /// Waits until this is so.
 pub fn wait(what: &str, is_so: impl Fn() -> bool) {
-    let asked = std::time::Instant::now();
+    let asked = Instant::now();
     while !is_so() {
         assert!(asked.elapsed() < PATIENCE, "waiting for {what}");
         std::thread::sleep(Duration::from_millis(1));
--- a/balancer/tests/deployments.rs
+++ b/balancer/tests/deployments.rs
@@ -4,7 +4,7 @@
 
 mod common;
 
-use common::{PATIENCE, Program};
+use common::{Program, accept};
 use rstest::rstest;
 use serde_json::json;
 use std::io::{Read, Write};
@@ -22,12 +22,6 @@
     String::from_utf8(text).expect("text")
 }
 
-fn taken(listener: &TcpListener) -> TcpStream {
-    let stream = listener.accept().expect("it connects").0;
-    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-    stream
-}
-
 fn get(id: u32, fields: &str) -> String {
     let (id, length) = (id.to_string(), fields.len());
     format!("*4\r\n$5\r\nC.GET\r\n$1\r\na\r\n${}\r\n{id}\r\n${length}\r\n{fields}\r\n", id.len())
@@ -69,12 +63,12 @@
     let program = Program::start(&path, &[]);
     std::fs::remove_file(&path).expect("it was read");
 
-    let mut watch = taken(&discovery);
+    let mut watch = accept(&discovery);
     assert!(read_until(&mut watch, "\r\n\r\n").starts_with("GET /registry/instances?follow=1&since=7 "));
     let mut client = program.client();
     let fields = |d: &str| format!("c=read,{tenant}{guess}size=0.4{mark},d={d}");
     client.write_all(get(1, &fields("900000")).as_bytes()).expect("it reads");
-    let mut one = taken(&cache);
+    let mut one = accept(&cache);
     let got = read_until(&mut one, "\r\n").replace("*4", "");
     assert_eq!(got, "\r\n");
     let passed = read_until(&mut one, ",d=");
--- a/balancer/tests/exchanges.rs
+++ b/balancer/tests/exchanges.rs
@@ -21,14 +21,13 @@
 
 mod common;
 
-use common::{PATIENCE, Program, connect};
+use common::{PATIENCE, Program, accept, connect};
 use rstest::rstest;
 use socket2::SockRef;
 use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::time::{Duration, Instant};
 
 const CONFIG: &str = r#"{"name":"n1","listen":"127.0.0.1:0","discovery":"DISCOVERY","seed":"2a",
     "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
@@ -144,20 +143,6 @@
     listener.local_addr().expect("an address").to_string()
 }
 
-fn accept(listener: &TcpListener) -> TcpStream {
-    // std has no accept with a time-out.
-    listener.set_nonblocking(true).expect("it can be asked");
-    let asked = Instant::now();
-    while asked.elapsed() < PATIENCE {
-        if let Ok((stream, _)) = listener.accept() {
-            stream.set_nonblocking(false).expect("it can be waited for");
-            return stream;
-        }
-        std::thread::sleep(Duration::from_millis(1));
-    }
-    panic!("the program does not connect")
-}
-
 fn unescape(text: &str) -> Vec<u8> {
     let mut out = Vec::new();
     let mut rest = text;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -719,17 +719,17 @@
     /// What an attempt's end says of its server.
     fn judge(&mut self, end: &Ended) {
         let overdue = self.overdue();
-        let slot = self.requests.get(&end.request).filter(|r| !r.new.write).map(|r| r.slot);
-        let rank = slot.and_then(|slot| self.candidates(slot).iter().position(|id| *id == end.server));
+        let ended = self.requests.get(&end.request).map(|r| (r.new, r.slot));
+        let rank = ended
+            .filter(|(new, _)| !new.write)
+            .and_then(|(_, slot)| self.candidates(slot).iter().position(|id| *id == end.server));
+        let new = ended.map(|(new, _)| new);
         let size = self.size(end.server);
         let knee = LIMIT_START / self.crowd * size;
-        let telling = self.requests.get(&end.request).is_none_or(|r| self.tells(&r.new));
+        let telling = new.is_none_or(|new| self.tells(&new));
         // With no place for another fetch a server still serves hits: that says nothing of its room.
-        let holds = |r: &Request| !r.new.write && self.known.held(r.new.key, end.server);
-        let fetches =
-            self.settings.origin == Origin::Through && !self.requests.get(&end.request).is_some_and(holds);
-        let work = self.requests.get(&end.request).and_then(|r| r.new.work);
-        let aim = self.aim;
+        let holds = new.is_some_and(|new| !new.write && self.known.held(new.key, end.server));
+        let fetches = self.settings.origin == Origin::Through && !holds;
         let Some(s) = self.servers.get_mut(&end.server) else { return };
         let before = s.strikes;
         let Some(at) = s.out.iter().position(|o| (o.1, o.2) == (end.request, end.attempt)) else { return };
@@ -752,12 +752,14 @@
                 let hit = end.note.is_none_or(|n| n == CacheNote::Hit);
                 if hit {
                     s.latency.add(end.latency as f64, LATENCY_GAIN, BASE_CREEP);
-                    work.iter().for_each(|w| s.pace.add(end.latency as f64, *w as f64, PACE_GAIN));
+                    if let Some(work) = new.and_then(|new| new.work) {
+                        s.pace.add(end.latency as f64, work as f64, PACE_GAIN);
+                    }
                 }
                 let mean = if hit { &s.latency } else { &self.fetch };
-                if hit && mean.now > (CROWDED * mean.base).max(CROWDED_PART * aim) {
+                if hit && mean.now > (CROWDED * mean.base).max(CROWDED_PART * self.aim) {
                     s.limit = (s.limit * CROWDED_CUT).max(LIMIT_MIN);
-                } else if mean.now < (EASY * mean.base).max(if hit { EASY_PART * aim } else { 0.0 })
+                } else if mean.now < (EASY * mean.base).max(if hit { EASY_PART * self.aim } else { 0.0 })
                     && s.out.len() as f64 + 1.0 >= s.limit
                 {
                     // Only a limit that was reached has shown that it may grow.
