Give balancers a view of their fleet: SWIM by foca, watchers, soft state, a count that bears splits

Seen: each balancer believes group_size of the settings, true or not; nothing tells one that others died, left or stall.

New crate fleet, without I/O: envelope, SWIM, watch, suspicion, health (who stood still or hears nobody accuses nobody), records, count (a split is no mass death: the sum of shares stays under 1.7, under 1.5 in one split, by a property test). In the balancer one UDP socket and one timer, a part of its own that the loop feeds and hears; the module is told the count by one event, Routers. /admin/fleet shows the view, each change is one log line.

--- a/crates/finchyard/src/api.rs
+++ b/crates/finchyard/src/api.rs
@@ -379,6 +379,8 @@
     },
     /// A timer is due.
     Timer(Token),
+    /// So many routers share the fleet now, this one included; goes before [`Settings::routers`].
+    Routers(usize),
 }
 
 macro_rules! reasons {
--- a/crates/finchyard/src/brain.rs
+++ b/crates/finchyard/src/brain.rs
@@ -114,6 +114,10 @@
             Event::Begun { request, attempt } => self.with(request, |me, r| me.on_begun(r, attempt)),
             Event::Gone(id) => self.with(id, |me, r| me.close(r, None)),
             Event::Probed { server, outcome, .. } => self.on_probed(server, outcome),
+            Event::Routers(routers) => {
+                self.settings.routers = routers.max(1);
+                self.crowd = (self.settings.routers as f64).sqrt();
+            }
             Event::Timer(Token(token)) => match self.timers.remove(&token) {
                 Some(Timer::Deadline(id)) => self.with(id, |me, r| me.on_deadline(r)),
                 Some(Timer::Copy(id)) => self.with(id, |me, r| me.on_late(r)),
--- a/crates/finchyard/src/brain/tests.rs
+++ b/crates/finchyard/src/brain/tests.rs
@@ -753,6 +753,18 @@
     }
 }
 
+#[test]
+fn the_told_number_of_routers_goes_before_the_settings_and_stands_from_then_on() {
+    let at = |routers| Brain::new(Settings { routers, ..settings() }, 1, 0).expect("settings make sense");
+    let mut told = at(2);
+    let mut actions = Vec::new();
+    told.handle(0, Event::Routers(100), &mut actions);
+    let many = at(100);
+    assert_eq!((told.settings.routers, told.crowd), (many.settings.routers, many.crowd));
+    told.handle(0, Event::Routers(0), &mut actions);
+    assert_eq!(told.settings.routers, 1, "this one counts");
+}
+
 #[test]
 fn an_unused_limit_stays_above_the_least_among_hundreds_of_routers() {
     let mut brain = Brain::new(Settings { routers: 900, ..settings() }, 1, 0).expect("settings make sense");
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,41 @@
+//! The fleet's own view: which balancers there are, which of them stall, left or died, and by how many the shares
+//! of room, probes and retries are divided.
+//!
+//! A [`Member`] speaks for one balancer. It does no I/O and has no clock: it is told of datagrams and of the time, and
+//! hands out datagrams, the time at which it wants to be woken, and the changes of its [`View`]. Who is there is found
+//! out by SWIM (the library `foca`); what this crate decides beyond that is in modules of its own:
+//!
+//! - [`envelope`]: whose datagrams are read at all;
+//! - [`watch`]: who listens for whom, and when silence becomes a suspicion;
+//! - [`suspicion`]: when a suspect is given up, and by whom;
+//! - [`health`]: when a member distrusts itself and accuses nobody;
+//! - [`records`]: soft state of bounded size, spread and asked for;
+//! - [`count`]: how many balancers the rest is shared among, through splits and deaths.
+//!
+//! Times are nanoseconds on the caller's own monotonic clock; spans are nanoseconds too. Nothing is encrypted or signed:
+//! the talk belongs on a network that is trusted.
+#![forbid(unsafe_code)]
+
+pub mod count;
+pub mod envelope;
+pub mod health;
+mod identity;
+mod member;
+pub mod planted;
+pub mod records;
+mod settings;
+pub mod suspicion;
+mod view;
+pub mod watch;
+
+pub use identity::Identity;
+pub use member::{Member, Traffic};
+pub use records::{Phase, Record, Soft};
+pub use settings::{FleetSettings, Timing};
+pub use view::{Change, Seen, State, View};
+
+/// A point in time or a span, in nanoseconds.
+pub type Nanos = u64;
+
+/// One millisecond.
+pub const MS: Nanos = 1_000_000;
--- /dev/null
+++ b/crates/fleet/src/planted.rs
@@ -0,0 +1,62 @@
+//! Mistakes that the mutation check plants, one at a time: each must be found by a trial or a test. Without the cargo
+//! feature `planted` there are none, and the compiler drops every branch on them.
+
+/// A planted mistake.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[allow(missing_docs)]
+pub enum Fault {
+    /// A suspect that hears of it does not refute.
+    ForgetsRefutation,
+    /// A restarted member is taken for its older self.
+    BelievesOldGeneration,
+    /// Who vanishes leaves the count at once, on either side of a split.
+    CountsOwnSideAtOnce,
+    /// Members believed dead are never asked again, nor are join addresses.
+    NeverAsksTheDead,
+    /// A member that stood still believes its old timers.
+    TrustsItselfAfterAStall,
+    /// A member that hears nobody accuses everybody.
+    AccusesWhileCutOff,
+    /// A suspect is given up without the watchers' question.
+    NoLastQuestion,
+    /// Datagrams of other fleets are read.
+    ReadsForeignFleets,
+    /// A leave is not told.
+    LeavesSilently,
+    /// Records that are missing are not asked for.
+    NeverAsksForRecords,
+}
+
+impl Fault {
+    /// Every one, with the name by which a trial plants it.
+    pub const ALL: [(Fault, &'static str); 10] = [
+        (Fault::ForgetsRefutation, "forgets-refutation"),
+        (Fault::BelievesOldGeneration, "believes-old-generation"),
+        (Fault::CountsOwnSideAtOnce, "counts-own-side-at-once"),
+        (Fault::NeverAsksTheDead, "never-asks-the-dead"),
+        (Fault::TrustsItselfAfterAStall, "trusts-itself-after-a-stall"),
+        (Fault::AccusesWhileCutOff, "accuses-while-cut-off"),
+        (Fault::NoLastQuestion, "no-last-question"),
+        (Fault::ReadsForeignFleets, "reads-foreign-fleets"),
+        (Fault::LeavesSilently, "leaves-silently"),
+        (Fault::NeverAsksForRecords, "never-asks-for-records"),
+    ];
+}
+
+/// Whether this mistake is planted in this process (`PIPITRUN_PLANTED` names it).
+#[cfg(feature = "planted")]
+pub fn is(fault: Fault) -> bool {
+    static PLANTED: std::sync::OnceLock<Option<Fault>> = std::sync::OnceLock::new();
+    let read = || {
+        let name = std::env::var("PIPITRUN_PLANTED").ok()?;
+        Fault::ALL.into_iter().find(|(_, n)| *n == name).map(|(fault, _)| fault)
+    };
+    *PLANTED.get_or_init(read) == Some(fault)
+}
+
+/// No mistake is planted.
+#[cfg(not(feature = "planted"))]
+#[inline(always)]
+pub fn is(_: Fault) -> bool {
+    false
+}
--- /dev/null
+++ b/crates/fleet/src/records.rs
@@ -0,0 +1,317 @@
+//! Soft state: a small record of each member, told by itself, spread by rumour and, where one is missing, asked for.
+
+use crate::planted::{self, Fault};
+use crate::{Identity, MS, Nanos, envelope::PAYLOAD_MAX};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// The longest name that is told, in bytes.
+pub const NAME_MAX: usize = 32;
+/// The longest name of a build that is told, in bytes.
+pub const BUILD_MAX: usize = 24;
+/// The longest extension, in bytes.
+pub const EXTRA_MAX: usize = 64;
+/// A record is passed on so often as a rumour, and once more for each doubling of the fleet.
+const RUMOURS: u32 = 3;
+/// The most members asked for in one datagram; as many as an answer or two hold.
+pub const WANT_MAX: usize = 24;
+/// Missing records are asked for this often.
+pub const WANT_EVERY: Nanos = 150 * MS;
+
+/// What a member says that it does.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    /// It has started and is not ready yet.
+    #[default]
+    Joining,
+    /// It serves clients.
+    Serving,
+    /// It is drained by its operators, or about to end.
+    Draining,
+    /// It goes, by its own word.
+    Leaving,
+}
+
+/// What a member tells of itself beyond that it is there.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Soft {
+    /// Its name.
+    pub name: String,
+    /// Where its clients connect.
+    pub door: SocketAddr,
+    /// What it does.
+    pub phase: Phase,
+    /// Its build.
+    pub build: String,
+    /// A checksum of its configuration.
+    pub config: u64,
+    /// Requests that it took a second lately, in tenths.
+    pub traffic: u32,
+    /// How many places it counts ([`crate::count`]).
+    pub places: u16,
+    /// For what later versions tell.
+    pub extra: Vec<u8>,
+}
+
+/// A member's word of itself; of one member the later generation, then the higher version goes before.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Whose.
+    pub of: Identity,
+    /// Counts up with each change.
+    pub version: u32,
+    /// What it says.
+    pub soft: Soft,
+}
+
+impl Record {
+    fn is_newer(&self, than: &Record) -> bool {
+        (self.of.generation, self.version) > (than.of.generation, than.version)
+    }
+
+    fn is_bounded(&self) -> bool {
+        let soft = &self.soft;
+        soft.name.len() <= NAME_MAX && soft.build.len() <= BUILD_MAX && soft.extra.len() <= EXTRA_MAX
+    }
+}
+
+struct Held {
+    record: Record,
+    rumours: u32,
+}
+
+/// The records that one member holds, its own included.
+pub struct Records {
+    held: BTreeMap<SocketAddr, Held>,
+    /// Where the round of records that are told once more goes on.
+    round: Option<SocketAddr>,
+    wanted: Nanos,
+}
+
+/// Cuts a text to so many bytes.
+pub fn cut(text: &str, most: usize) -> String {
+    let end = (0..=most.min(text.len())).rev().find(|end| text.is_char_boundary(*end)).unwrap_or(0);
+    text[..end].to_string()
+}
+
+impl Records {
+    /// The member's own record alone.
+    pub fn new(own: Record) -> Self {
+        let mut held = BTreeMap::new();
+        held.insert(own.of.address, Held { record: own, rumours: RUMOURS });
+        Records { held, round: None, wanted: 0 }
+    }
+
+    /// What a member said last, of this life of its or a later one.
+    pub fn of(&self, id: &Identity) -> Option<&Record> {
+        let record = &self.held.get(&id.address)?.record;
+        (record.of.generation >= id.generation).then_some(record)
+    }
+
+    /// Puts the member's own record; it is news.
+    pub fn put(&mut self, record: Record, members: usize) {
+        let rumours = rumours(members);
+        self.held.insert(record.of.address, Held { record, rumours });
+    }
+
+    /// Takes in records of others; of an unknown member none is kept. The number of those that were news.
+    pub fn take(
+        &mut self,
+        own: SocketAddr,
+        payload: &[u8],
+        known: impl Fn(SocketAddr) -> bool,
+        members: usize,
+    ) -> Option<usize> {
+        let records: Vec<Record> = postcard::from_bytes(payload).ok()?;
+        if !records.iter().all(Record::is_bounded) {
+            return None;
+        }
+        let mut news = 0;
+        for record in records {
+            let address = record.of.address;
+            // Of oneself one knows best.
+            if address == own || !known(address) {
+                continue;
+            }
+            if self.held.get(&address).is_none_or(|held| record.is_newer(&held.record)) {
+                self.held.insert(address, Held { record, rumours: rumours(members) });
+                news += 1;
+            }
+        }
+        Some(news)
+    }
+
+    /// Forgets members that are no longer known.
+    pub fn retain(&mut self, known: impl Fn(SocketAddr) -> bool) {
+        self.held.retain(|address, _| known(*address));
+    }
+
+    /// Whether something is news that is still to be passed on.
+    pub fn has_news(&self) -> bool {
+        self.held.values().any(|held| held.rumours > 0)
+    }
+
+    /// One datagram's worth: news first, then, in turn, what is no news, as far as there is room.
+    pub fn tell(&mut self, own: SocketAddr, with_round: bool) -> Vec<u8> {
+        let mut picked: Vec<(u32, SocketAddr)> = self
+            .held
+            .iter()
+            .filter(|(_, held)| held.rumours > 0)
+            .map(|(a, held)| (held.rumours, *a))
+            .collect();
+        picked.sort_unstable_by(|a, b| b.cmp(a));
+        let mut order: Vec<SocketAddr> = picked.into_iter().map(|(_, address)| address).collect();
+        if with_round {
+            order.push(own);
+            let after = |address: &SocketAddr| self.round.is_some_and(|round| *address > round);
+            let (later, sooner): (Vec<SocketAddr>, Vec<SocketAddr>) =
+                self.held.keys().copied().partition(after);
+            order.extend(later.into_iter().chain(sooner).take(WANT_MAX));
+        }
+        let (payload, told) = self.pack(order);
+        for address in told {
+            if let Some(held) = self.held.get_mut(&address) {
+                held.rumours = held.rumours.saturating_sub(1);
+            }
+            if with_round && address != own {
+                self.round = Some(address);
+            }
+        }
+        payload
+    }
+
+    /// The records that another asks for, as far as one datagram holds them.
+    pub fn answer(&self, payload: &[u8]) -> Option<Vec<u8>> {
+        let wanted: Vec<SocketAddr> = postcard::from_bytes(payload).ok()?;
+        if wanted.len() > WANT_MAX {
+            return None;
+        }
+        Some(self.pack(wanted).0)
+    }
+
+    /// Whom to ask for, if it is time: living members that have said nothing of themselves yet.
+    pub fn want<'a>(&mut self, now: Nanos, living: impl Iterator<Item = &'a Identity>) -> Option<Vec<u8>> {
+        if now.saturating_sub(self.wanted) < WANT_EVERY || planted::is(Fault::NeverAsksForRecords) {
+            return None;
+        }
+        let missing: Vec<SocketAddr> =
+            living.filter(|id| self.of(id).is_none()).map(|id| id.address).take(WANT_MAX).collect();
+        if missing.is_empty() {
+            return None;
+        }
+        self.wanted = now;
+        postcard::to_stdvec(&missing).ok()
+    }
+
+    fn pack(&self, order: Vec<SocketAddr>) -> (Vec<u8>, Vec<SocketAddr>) {
+        let mut records: Vec<&Record> = Vec::new();
+        let mut told = Vec::new();
+        // The count of records stands before them, in at most two bytes.
+        let mut size = 2;
+        for address in order {
+            let Some(held) = self.held.get(&address) else { continue };
+            let length = postcard::to_stdvec(&held.record).map_or(PAYLOAD_MAX, |bytes| bytes.len());
+            if told.contains(&address) || size + length > PAYLOAD_MAX {
+                continue;
+            }
+            size += length;
+            told.push(address);
+            records.push(&held.record);
+        }
+        (postcard::to_stdvec(&records).unwrap_or_default(), told)
+    }
+}
+
+fn rumours(members: usize) -> u32 {
+    RUMOURS + members.max(1).ilog2()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn record(n: u16, generation: u64, version: u32) -> Record {
+        let of = Identity { address: SocketAddr::from(([127, 0, 0, 1], n)), generation };
+        let soft = Soft {
+            name: format!("n{n}"),
+            door: of.address,
+            phase: Phase::Serving,
+            build: "x".repeat(BUILD_MAX),
+            config: u64::MAX,
+            traffic: 9,
+            places: 1_000,
+            extra: vec![7; EXTRA_MAX],
+        };
+        Record { of, version, soft }
+    }
+
+    fn own() -> SocketAddr {
+        record(1, 1, 1).of.address
+    }
+
+    #[test]
+    fn an_older_word_never_goes_before_a_newer_one_and_unknown_members_leave_none() {
+        let mut records = Records::new(record(1, 1, 1));
+        let take = |records: &mut Records, r: Record| {
+            let payload = postcard::to_stdvec(&vec![r]).unwrap();
+            records.take(own(), &payload, |a| a.port() < 9, 3)
+        };
+        assert_eq!(take(&mut records, record(2, 5, 3)), Some(1));
+        for old in [record(2, 5, 3), record(2, 5, 2), record(2, 4, 99)] {
+            assert_eq!(take(&mut records, old), Some(0), "replayed");
+        }
+        assert_eq!(take(&mut records, record(2, 6, 0)), Some(1), "another life");
+        assert_eq!(take(&mut records, record(9, 1, 1)), Some(0), "unknown");
+        assert_eq!(take(&mut records, record(1, 9, 9)), Some(0), "of itself it knows best");
+        let mut long = record(3, 1, 1);
+        long.soft.extra.push(0);
+        assert_eq!(take(&mut records, long), None, "beyond the bound");
+        assert_eq!(records.take(own(), b"\xff\xff\xff\xff\x0f", |_| true, 3), None);
+        let id = |generation| Identity { address: record(2, 0, 0).of.address, generation };
+        assert!(records.of(&id(6)).is_some() && records.of(&id(7)).is_none());
+    }
+
+    #[test]
+    fn news_is_told_a_bounded_number_of_times_and_all_else_in_turn() {
+        let mut records = Records::new(record(1, 1, 1));
+        let all: Vec<Record> = (2..=60).map(|n| record(n, 1, 1)).collect();
+        for chunk in all.chunks(5) {
+            records.take(own(), &postcard::to_stdvec(&chunk).unwrap(), |_| true, 60);
+        }
+        let mut datagrams = 0;
+        while records.has_news() {
+            assert!(records.tell(own(), false).len() <= PAYLOAD_MAX);
+            datagrams += 1;
+        }
+        assert!(datagrams <= 59 * (RUMOURS + 5), "{datagrams}");
+        assert_eq!(records.tell(own(), false), [0], "no news");
+        let mut heard = std::collections::BTreeSet::new();
+        for _ in 0..30 {
+            let told: Vec<Record> = postcard::from_bytes(&records.tell(own(), true)).unwrap();
+            assert_eq!(told[0].of.address, own());
+            heard.extend(told.into_iter().map(|r| r.of.address));
+        }
+        assert_eq!(heard.len(), 60, "each in its turn");
+    }
+
+    #[test]
+    fn who_is_missing_is_asked_for_and_answered() {
+        let mut mine = Records::new(record(1, 1, 1));
+        let mut theirs = Records::new(record(2, 1, 1));
+        let living: Vec<Identity> = (2..=80).map(|n| record(n, 1, 1).of).collect();
+        let want = mine.want(WANT_EVERY, living.iter()).unwrap();
+        assert_eq!(mine.want(WANT_EVERY + 1, living.iter()), None, "not so often");
+        let answer = theirs.answer(&want).unwrap();
+        assert_eq!(mine.take(own(), &answer, |_| true, 2), Some(1));
+        theirs.put(record(2, 1, 2), 2);
+        let many: Vec<SocketAddr> = (0..=WANT_MAX as u16).map(|n| record(n, 1, 1).of.address).collect();
+        assert_eq!(theirs.answer(&postcard::to_stdvec(&many).unwrap()), None, "beyond the bound");
+    }
+
+    #[test]
+    fn a_long_name_is_cut_at_a_letter() {
+        assert_eq!(cut("ცხრა", 7), "ცხ");
+        assert_eq!(cut("n3", NAME_MAX), "n3");
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/settings.rs
@@ -0,0 +1,50 @@
+//! By what a member works.
+
+use crate::{MS, Nanos};
+use std::net::SocketAddr;
+
+/// What one member is told at its start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FleetSettings {
+    /// The fleet's name; datagrams of another are dropped.
+    pub fleet: String,
+    /// This balancer's name; at most [`crate::records::NAME_MAX`] bytes are told.
+    pub name: String,
+    /// Where the others reach this member.
+    pub address: SocketAddr,
+    /// Members to ask at first; may be empty, or dead.
+    pub join: Vec<SocketAddr>,
+    /// The most members that are held, dead ones included.
+    pub members_max: usize,
+    /// The number of balancers by the operators' settings, told while the view is none or stale.
+    pub configured: usize,
+    /// The times.
+    pub timing: Timing,
+}
+
+/// The times by which members are found dead and counted out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// Each member asks another once in this span.
+    pub probe: Nanos,
+    /// A direct answer takes at most this long; then others are asked to ask.
+    pub answer: Nanos,
+    /// A suspect that says nothing to those who watch it for this long is dead.
+    pub suspect: Nanos,
+    /// Who vanished untold keeps its place in the count for this long.
+    pub hold: Nanos,
+    /// What is dead this long is forgotten, whatever its side of a split.
+    pub forget: Nanos,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Timing {
+            probe: 1_000 * MS,
+            answer: 300 * MS,
+            suspect: 1_200 * MS,
+            hold: 15_000 * MS,
+            forget: 600_000 * MS,
+        }
+    }
+}
--- a/crates/pipitrun/src/config.rs
+++ b/crates/pipitrun/src/config.rs
@@ -1,8 +1,13 @@
 //! The one place where the environment and the configuration file are read, checked and given defaults.
 
+mod fleet;
+
+pub use fleet::FleetConfig;
+
 use crate::upstream_group::HostList;
 use finchyard::Settings;
 use finchyard_settings::{Names, Setup, Transport, key_of};
+use fleet::FileFleet;
 use serde::Deserialize;
 use serde_json::Value;
 use std::fmt;
@@ -30,6 +35,8 @@
     pub socket_fd: Option<RawFd>,
     /// A folder for what two processes of one balancer tell each other.
     pub folder: Option<PathBuf>,
+    /// The talk with other balancers, if any.
+    pub fleet: Option<FleetConfig>,
     /// Where discovery is.
     pub discovery: SocketAddr,
     /// What the file says of that, whether or not the environment goes before it.
@@ -77,6 +84,7 @@
     listen: Option<String>,
     management: Option<String>,
     discovery: Option<String>,
+    fleet: Option<FileFleet>,
     #[serde(default)]
     seed: Value,
     #[serde(default)]
@@ -128,6 +136,7 @@
             ("management", self.management != former.management),
             ("seed", self.seed != former.seed),
             ("settings", settings),
+            ("fleet", self.fleet != former.fleet),
         ];
         keys.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key).collect()
     }
@@ -179,6 +188,7 @@
             management,
             socket_fd,
             folder: variable("TMPDIR").filter(|f| !f.is_empty()).map(PathBuf::from),
+            fleet: file.fleet.map(FileFleet::check).transpose()?,
             discovery: address("GW_DISCOVERY", "discovery", file.discovery.clone())?,
             discovery_in_file: file.discovery,
             seed: seed(&file.seed),
--- a/crates/pipitrun/src/event_loop.rs
+++ b/crates/pipitrun/src/event_loop.rs
@@ -1,12 +1,15 @@
 //! The loop: gather what is ready, hand it to the module in one go, carry out what came back.
 
+mod fleet;
+mod operators;
 mod upgrade;
 
 use crate::agent::Pace;
 use crate::config::Config;
 use crate::counters::{Counters, Step};
 use crate::decide::{Decide, known_phase, phase, server_id};
-use crate::front::management::{Asked, CALLERS_MAX, Call, Management};
+use crate::fleet::Fleet;
+use crate::front::management::{CALLERS_MAX, Management};
 use crate::front::resp::{FrontEvent, RespFront};
 use crate::hand_over::HandOver;
 use crate::life_cycle::LifeCycle;
@@ -61,6 +64,8 @@
     max_open: usize,
     life: LifeCycle,
     management: Option<Management>,
+    /// The talk with the other balancers, if it is set.
+    fleet: Option<Fleet>,
     /// The other process of an upgrade, where there can be one.
     seats: Option<Seats>,
     hand_over: HandOver,
@@ -104,7 +109,7 @@
         let pace = (config.settings.discovery == Discovery::Pushed).then(|| Pace::new(grace));
         let management = |address| {
             let key = "configuration: management (GW_MANAGEMENT)";
-            Management::listen(&poll, address)
+            Management::listen(&poll, address, config.fleet.is_some())
                 .map_err(|e| format!("{key}: {address}: {e}; a free address of this machine is expected"))
         };
         let mut me = EventLoop {
@@ -128,6 +133,7 @@
             memory: 0,
             max_open: transport.max_open,
             management: config.management.map(management).transpose()?,
+            fleet: None,
             life,
             clock,
             poll,
@@ -136,6 +142,7 @@
         me.split();
         me.timers.set(now + SWEEP, Due::Sweep);
         me.look(now);
+        me.join_fleet(now)?;
         match known {
             Some(list) => me.list(list, true),
             // The module begins with its first event. Without a list there would be none until a client comes, and
@@ -158,6 +165,7 @@
             what(self.poll.wait(&mut events, wait, &mut ready), "waiting")?;
             self.gather(&mut ready);
         }
+        self.leave_fleet();
         self.print_counters();
         Ok(())
     }
@@ -206,6 +214,7 @@
                     self.print_counters();
                 }
                 Source::Reload => self.reload(now),
+                Source::Fleet => self.fleet_ready(now),
                 Source::Listener => self.front.accept(now, &mut self.counters),
                 Source::Client(_) => clients.push(one),
             }
@@ -264,6 +273,7 @@
             }
             Due::LifeCycle => self.follow(now),
             Due::Look => self.look(now),
+            Due::Fleet => self.fleet_turn(now),
         }
     }
 
@@ -462,47 +472,6 @@
         }
     }
 
-    /// Has the clients' door do what follows from the life cycle now.
-    fn follow(&mut self, now: Nanos) {
-        let mut events = Vec::new();
-        if let Some(seats) = &mut self.seats {
-            seats.set_ready(self.life.is_ready());
-        }
-        self.front.follow(self.life.stance(now), now, &mut events, &mut self.counters);
-        self.front_events(now, events);
-        if let Some(due) = self.life.due(now) {
-            self.timers.set(due, Due::LifeCycle);
-        }
-    }
-
-    /// The operators' door.
-    fn management(&mut self, now: Nanos, ready: Ready) {
-        let Some(management) = &mut self.management else { return };
-        if ready.source == Source::Management {
-            return management.accept(now, &mut self.counters);
-        }
-        let Some(Asked { caller, call }) = management.ready(ready, &mut self.counters) else { return };
-        let former = self.life.name();
-        let done = match call {
-            Call::Health => Ok(()),
-            Call::Quiesce => {
-                self.life.quiesce(now);
-                Ok(())
-            }
-            Call::Resume => self.life.resume(),
-        };
-        let status = match (call, done) {
-            (_, Err(_)) => 409,
-            (Call::Health, _) if !self.life.is_ready() => 503,
-            _ => 200,
-        };
-        management.answer(caller, status, self.life.name());
-        if self.life.name() != former {
-            log::info!("operators: {call:?}: {former}, now {}", self.life.name());
-            self.follow(now);
-        }
-    }
-
     fn carry_out(&mut self, now: Nanos, action: Action) {
         match action {
             Action::Send { request, attempt, server, timeout } => {
@@ -631,6 +600,9 @@
     fn print_counters(&self) {
         // Nobody may be reading any more; that is no reason to fail.
         let _ = writeln!(io::stdout(), "{}", self.counters);
+        if let Some(fleet) = &self.fleet {
+            let _ = writeln!(io::stdout(), "{fleet}");
+        }
     }
 }
 
--- /dev/null
+++ b/crates/pipitrun/src/event_loop/fleet.rs
@@ -0,0 +1,56 @@
+//! The loop's part in the fleet's talk: it feeds it, hears it, and tells the module by how many shares are divided.
+
+use super::EventLoop;
+use crate::fleet::Fleet;
+use crate::timers::Due;
+use finchyard::{Event, Nanos};
+use pipitrun_fleet::{Phase, Soft};
+use xxhash_rust::xxh3::xxh3_64;
+
+impl EventLoop {
+    /// Begins the talk, where the configuration has the key.
+    pub(super) fn join_fleet(&mut self, now: Nanos) -> Result<(), String> {
+        let Some(config) = &self.config.fleet else { return Ok(()) };
+        let door = self.front.address().unwrap_or(self.config.listen);
+        // Balancers of one fleet differ in their names and addresses, and in nothing of the settings.
+        let checksum = xxh3_64(format!("{:?}", self.config.settings).as_bytes());
+        let soft = Soft {
+            name: self.config.name.clone(),
+            door,
+            phase: Phase::Joining,
+            build: env!("CARGO_PKG_VERSION").into(),
+            config: checksum,
+            traffic: 0,
+            places: 1,
+            extra: Vec::new(),
+        };
+        let routers = self.config.settings.routers;
+        let beside = self.config.socket_fd.is_some();
+        let fleet = Fleet::open(&self.poll, config, soft, routers, self.config.seed, now, beside)
+            .map_err(|e| format!("configuration: fleet.bind: {}: {e}", config.bind))?;
+        self.fleet = Some(fleet);
+        self.timers.set(now, Due::Fleet);
+        Ok(())
+    }
+
+    pub(super) fn fleet_turn(&mut self, now: Nanos) {
+        let Some(fleet) = &mut self.fleet else { return };
+        if let Some(routers) = fleet.turn(now, &self.life, self.counters.taken) {
+            self.news.push(Event::Routers(routers));
+        }
+        self.timers.set(fleet.due(), Due::Fleet);
+    }
+
+    pub(super) fn fleet_ready(&mut self, now: Nanos) {
+        if let Some(fleet) = &mut self.fleet {
+            fleet.ready(now);
+        }
+    }
+
+    pub(super) fn leave_fleet(&mut self) {
+        let now = self.clock.now();
+        if let Some(fleet) = &mut self.fleet {
+            fleet.leave(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pipitrun/src/event_loop/operators.rs
@@ -0,0 +1,54 @@
+//! The loop's part in the life cycle and in the operators' calls.
+
+use super::EventLoop;
+use crate::front::management::{Asked, Call};
+use crate::poll::{Ready, Source};
+use crate::timers::Due;
+use finchyard::Nanos;
+
+impl EventLoop {
+    /// Has the clients' door do what follows from the life cycle now.
+    pub(super) fn follow(&mut self, now: Nanos) {
+        let mut events = Vec::new();
+        if let Some(seats) = &mut self.seats {
+            seats.set_ready(self.life.is_ready());
+        }
+        self.front.follow(self.life.stance(now), now, &mut events, &mut self.counters);
+        self.front_events(now, events);
+        if let Some(due) = self.life.due(now) {
+            self.timers.set(due, Due::LifeCycle);
+        }
+    }
+
+    /// The operators' door.
+    pub(super) fn management(&mut self, now: Nanos, ready: Ready) {
+        let Some(management) = &mut self.management else { return };
+        if ready.source == Source::Management {
+            return management.accept(now, &mut self.counters);
+        }
+        let Some(Asked { caller, call }) = management.ready(ready, &mut self.counters) else { return };
+        let former = self.life.name();
+        let done = match call {
+            Call::Health => Ok(()),
+            Call::Fleet => {
+                let json = self.fleet.as_ref().map(|fleet| fleet.json(now)).unwrap_or_default();
+                return management.answer_json(caller, &json);
+            }
+            Call::Quiesce => {
+                self.life.quiesce(now);
+                Ok(())
+            }
+            Call::Resume => self.life.resume(),
+        };
+        let status = match (call, done) {
+            (_, Err(_)) => 409,
+            (Call::Health, _) if !self.life.is_ready() => 503,
+            _ => 200,
+        };
+        management.answer(caller, status, self.life.name());
+        if self.life.name() != former {
+            log::info!("operators: {call:?}: {former}, now {}", self.life.name());
+            self.follow(now);
+        }
+    }
+}
--- a/crates/pipitrun/src/front/management.rs
+++ b/crates/pipitrun/src/front/management.rs
@@ -31,6 +31,8 @@
     Quiesce,
     /// Back to work.
     Resume,
+    /// What is seen of the fleet.
+    Fleet,
 }
 
 /// A call that waits for its answer, by its connection.
@@ -57,6 +59,7 @@
     listener: Watched<TcpListener>,
     callers: BTreeMap<u64, Caller>,
     next_caller: u64,
+    fleet: bool,
 }
 
 /// What a head turns out to be.
@@ -68,7 +71,8 @@
     Wrong(u16, &'static str),
 }
 
-fn read_head(input: &[u8]) -> Head {
+/// `fleet`: there is a fleet to be asked for.
+fn read_head(input: &[u8], fleet: bool) -> Head {
     let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
     let mut request = httparse::Request::new(&mut headers);
     match request.parse(input) {
@@ -83,6 +87,7 @@
         "/admin/health" => (Call::Health, "GET"),
         "/admin/quiesce" => (Call::Quiesce, "POST"),
         "/admin/resume" => (Call::Resume, "POST"),
+        "/admin/fleet" if fleet => (Call::Fleet, "GET"),
         _ => return Head::Wrong(404, ""),
     };
     if request.method == Some(method) { Head::Call(call) } else { Head::Wrong(405, method) }
@@ -102,13 +107,13 @@
 }
 
 impl Management {
-    /// Listens for calls.
-    pub fn listen(poll: &Poll, address: SocketAddr) -> io::Result<Self> {
+    /// Listens for calls; with a `fleet` also for those that ask for it.
+    pub fn listen(poll: &Poll, address: SocketAddr, fleet: bool) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         log::info!("management listens on {}", listener.local_addr()?);
         listener.set_nonblocking(true)?;
         let listener = poll.watch(listener, Source::Management, true, false)?;
-        Ok(Management { poll: poll.clone(), listener, callers: BTreeMap::new(), next_caller: 0 })
+        Ok(Management { poll: poll.clone(), listener, callers: BTreeMap::new(), next_caller: 0, fleet })
     }
 
     /// Takes the callers that wait.
@@ -170,7 +175,7 @@
                 return None;
             }
         }
-        match read_head(&c.input) {
+        match read_head(&c.input, self.fleet) {
             Head::More => None,
             Head::Call(call) => {
                 counters.calls += 1;
@@ -189,9 +194,17 @@
         self.put(caller, status, state, "");
     }
 
+    /// Answers a call with JSON of its own.
+    pub fn answer_json(&mut self, caller: u64, body: &str) {
+        self.put_body(caller, 200, body, "");
+    }
+
     fn put(&mut self, number: u64, status: u16, state: &str, allow: &str) {
+        self.put_body(number, status, &format!("{{\"state\":\"{state}\"}}\n"), allow);
+    }
+
+    fn put_body(&mut self, number: u64, status: u16, body: &str, allow: &str) {
         let Some(c) = self.callers.get_mut(&number) else { return };
-        let body = format!("{{\"state\":\"{state}\"}}\n");
         let allow = if allow.is_empty() { String::new() } else { format!("Allow: {allow}\r\n") };
         c.output = format!(
             "HTTP/1.1 {status} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\nCache-Control: no-store\r\n\
@@ -245,7 +258,7 @@
     use super::*;
 
     fn door() -> (Management, impl Fn() -> TcpStream) {
-        let door = Management::listen(&Poll::new().unwrap(), "127.0.0.1:0".parse().unwrap()).unwrap();
+        let door = Management::listen(&Poll::new().unwrap(), "127.0.0.1:0".parse().unwrap(), false).unwrap();
         let address = door.listener.socket().local_addr().unwrap();
         (door, move || TcpStream::connect(address).unwrap())
     }
@@ -258,9 +271,9 @@
     fn a_head_is_told_by_path_then_method_once_it_is_whole() {
         let whole = b"POST /admin/quiesce?why=x HTTP/1.1\r\nHost: a\r\n\r\n";
         for cut in 0..whole.len() {
-            assert_eq!(read_head(&whole[..cut]), Head::More, "after {cut} bytes");
+            assert_eq!(read_head(&whole[..cut], false), Head::More, "after {cut} bytes");
         }
-        assert_eq!(read_head(whole), Head::Call(Call::Quiesce));
+        assert_eq!(read_head(whole, false), Head::Call(Call::Quiesce));
         let long = format!("GET /admin/health HTTP/1.1\r\nA: {}\r\n\r\n", "x".repeat(HEAD_MAX));
         let many = format!("GET /admin/health HTTP/1.1\r\n{}\r\n", "A: b\r\n".repeat(HEADERS_MAX + 1));
         let cases = [
@@ -273,8 +286,11 @@
             (&long, Head::Wrong(431, "")),
             (&many, Head::Wrong(431, "")),
         ];
+        let fleet = b"GET /admin/fleet HTTP/1.1\r\n\r\n";
+        assert_eq!(read_head(fleet, true), Head::Call(Call::Fleet));
+        assert_eq!(read_head(fleet, false), Head::Wrong(404, ""), "without a fleet nothing differs");
         for (text, head) in cases {
-            assert_eq!(read_head(text.as_bytes()), head, "{}", &text[..30.min(text.len())]);
+            assert_eq!(read_head(text.as_bytes(), false), head, "{}", &text[..30.min(text.len())]);
         }
     }
 
--- a/crates/pipitrun/src/front/resp.rs
+++ b/crates/pipitrun/src/front/resp.rs
@@ -9,7 +9,7 @@
 use finchyard::{Nanos, RequestId};
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::ops::Range;
 
 /// Commands of one connection that may wait for their answers; the next ones stay unread.
@@ -171,6 +171,11 @@
         self.connections.is_empty()
     }
 
+    /// Where clients connect, while the door is there.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.listener.as_ref()?.socket().local_addr().ok()
+    }
+
     /// Takes the clients that wait at the door.
     pub fn accept(&mut self, now: Nanos, counters: &mut Counters) {
         if self.stance.door == Door::Waits {
--- a/crates/pipitrun/src/main.rs
+++ b/crates/pipitrun/src/main.rs
@@ -8,6 +8,7 @@
 mod counters;
 mod decide;
 mod event_loop;
+mod fleet;
 mod front;
 mod hand_over;
 mod life_cycle;
--- a/crates/pipitrun/src/poll.rs
+++ b/crates/pipitrun/src/poll.rs
@@ -82,10 +82,12 @@
     Management,
     /// A connection of an operator's call, by its number.
     Caller(u64),
+    /// The socket of the fleet's talk.
+    Fleet,
 }
 
 impl Source {
-    const KINDS: u64 = 9;
+    const KINDS: u64 = 10;
 
     fn key(self) -> usize {
         let (number, kind) = match self {
@@ -98,6 +100,7 @@
             Source::Reload => (0, 6),
             Source::Management => (0, 7),
             Source::Caller(n) => (n, 8),
+            Source::Fleet => (0, 9),
         };
         (number * Self::KINDS + kind) as usize
     }
@@ -113,7 +116,8 @@
             5 => Source::Report,
             6 => Source::Reload,
             7 => Source::Management,
-            _ => Source::Caller(number),
+            8 => Source::Caller(number),
+            _ => Source::Fleet,
         }
     }
 }
--- a/crates/pipitrun/src/timers.rs
+++ b/crates/pipitrun/src/timers.rs
@@ -50,6 +50,8 @@
     Look,
     /// The life cycle goes on by time alone.
     LifeCycle,
+    /// The fleet's talk has its turn.
+    Fleet,
 }
 
 /// All timers.
