--- /dev/null
+++ b/crates/trials/src/ground.rs
@@ -0,0 +1,304 @@
+//! The trial ground: N real processes of the built program with stand-ins round them and faults between them. All of it
+//! ends with the [`Ground`], also in a panic.
+
+use crate::faults::{Faults, Link};
+use crate::member::{MemberProcess, Spec, View};
+use crate::relay::Relay;
+use crate::stand_ins::cache::{Cache, CacheOptions};
+use crate::stand_ins::clients::Clients;
+use crate::stand_ins::discovery::{Discovery, Host, List};
+use crate::switch::Switch;
+use std::collections::HashMap;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+/// The most instances and caches: one loopback network has room for so many.
+pub const INSTANCES_MAX: usize = 120;
+/// See [`INSTANCES_MAX`].
+pub const CACHES_MAX: usize = 40;
+
+/// What is put on the ground.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Processes of the program.
+    pub instances: usize,
+    /// Tile caches.
+    pub caches: usize,
+    /// How the caches work.
+    pub cache: CacheOptions,
+    /// The key `fleet` is set.
+    pub fleet: bool,
+    /// Of how many members each is told as join addresses.
+    pub joins: usize,
+    /// Requests a second over all; 0 for no clients.
+    pub rate: f64,
+    /// For all that is drawn.
+    pub seed: u64,
+    /// The program; else it is looked for beside this one.
+    pub program: Option<PathBuf>,
+    /// Further keys of `fleet`, as JSON.
+    pub fleet_keys: serde_json::Map<String, serde_json::Value>,
+    /// A mistake that is planted in each process, where the program was built with them.
+    pub planted: Option<String>,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Plan {
+            instances: 6,
+            caches: 4,
+            cache: CacheOptions::default(),
+            fleet: true,
+            joins: 3,
+            rate: 0.0,
+            seed: 1,
+            program: None,
+            fleet_keys: serde_json::Map::new(),
+            planted: None,
+        }
+    }
+}
+
+/// A loopback network that no other trial on this machine uses while this lives: 127.A.B.0/24.
+struct Network {
+    a: u8,
+    b: u8,
+    _lock: TcpListener,
+}
+
+impl Network {
+    fn take() -> io::Result<Self> {
+        static TAKEN: AtomicU32 = AtomicU32::new(0);
+        let begin = std::process::id().wrapping_mul(7).wrapping_add(TAKEN.fetch_add(1, Ordering::Relaxed));
+        for step in 0..1_000 {
+            let n = begin.wrapping_add(step * 131);
+            let (a, b) = (64 + (n >> 8) as u8 % 128, n as u8);
+            if let Ok(lock) = TcpListener::bind((Ipv4Addr::new(127, a, b, 254), 1_999)) {
+                return Ok(Network { a, b, _lock: lock });
+            }
+        }
+        Err(io::Error::other("no loopback network is free"))
+    }
+
+    fn at(&self, last: usize, port: u16) -> SocketAddr {
+        SocketAddr::from(([127, self.a, self.b, last as u8], port))
+    }
+
+    fn member(&self, n: usize, port: u16) -> SocketAddr {
+        self.at(n + 1, port)
+    }
+
+    fn cache(&self, n: usize) -> SocketAddr {
+        self.at(200 + n, 7_000)
+    }
+}
+
+/// The program that is tried: named, or beside this one in the build's folder.
+pub fn program(named: Option<&PathBuf>) -> Result<PathBuf, String> {
+    if let Some(path) = named {
+        return if path.is_file() { Ok(path.clone()) } else { Err(format!("{} is no file", path.display())) };
+    }
+    let own = std::env::current_exe().map_err(|e| e.to_string())?;
+    let found =
+        own.ancestors().skip(1).take(2).map(|folder| folder.join("pipitrun")).find(|path| path.is_file());
+    found.ok_or_else(|| {
+        format!("no pipitrun beside {}; build the workspace first, or name it with --program", own.display())
+    })
+}
+
+/// The ground with all on it.
+pub struct Ground {
+    /// What was put on it.
+    pub plan: Plan,
+    /// When it was laid out.
+    pub begun: Instant,
+    /// The processes.
+    pub members: Vec<MemberProcess>,
+    /// The caches; `None` while one is down.
+    pub caches: Vec<Option<Cache>>,
+    /// The list that discovery tells.
+    pub list: List,
+    clients: Option<Clients>,
+    switch: Switch,
+    /// `relays[member][cache]`.
+    relays: Vec<Vec<Relay>>,
+    _discovery: Vec<Discovery>,
+    network: Network,
+    folder: PathBuf,
+}
+
+impl Drop for Ground {
+    fn drop(&mut self) {
+        // Clients first: what breaks from here on is no finding.
+        self.clients = None;
+        self.members.clear();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn cache_name(n: usize) -> String {
+    format!("c-{n}")
+}
+
+impl Ground {
+    /// Lays it out; no process runs yet.
+    pub fn lay_out(plan: Plan) -> Result<Self, String> {
+        if !(1..=INSTANCES_MAX).contains(&plan.instances) || !(1..=CACHES_MAX).contains(&plan.caches) {
+            return Err(format!("1 to {INSTANCES_MAX} instances and 1 to {CACHES_MAX} caches have room"));
+        }
+        let told = |what: &str| {
+            let what = what.to_string();
+            move |e: io::Error| format!("{what}: {e}")
+        };
+        let program = program(plan.program.as_ref())?;
+        let network = Network::take().map_err(|e| e.to_string())?;
+        let folder = std::env::temp_dir().join(format!(
+            "pipitrun-trial-{}-{}-{}",
+            std::process::id(),
+            network.a,
+            network.b
+        ));
+        std::fs::create_dir_all(&folder).map_err(told("folder"))?;
+        let n = plan.instances;
+        let advertised: Vec<SocketAddr> = (0..n).map(|i| network.member(i, 7_947)).collect();
+        let own: Vec<SocketAddr> = (0..n).map(|i| network.member(i, 7_946)).collect();
+        let switch = Switch::start(&advertised, &own, plan.seed).map_err(told("switch"))?;
+        let list = List::default();
+        let mut caches = Vec::new();
+        for c in 0..plan.caches {
+            let cache = Cache::start(&cache_name(c), network.cache(c), plan.cache).map_err(told("cache"))?;
+            caches.push(Some(cache));
+            list.put(&cache_name(c), Host { health: "in_service", born_ms: 0 });
+        }
+        let (mut relays, mut discovery, mut members) = (Vec::new(), Vec::new(), Vec::new());
+        for i in 0..n {
+            let seed = plan.seed.wrapping_mul(100_003).wrapping_add(i as u64);
+            let mut mine = Vec::new();
+            let mut dials = HashMap::new();
+            for c in 0..plan.caches {
+                let listen = network.member(i, 7_100 + c as u16);
+                mine.push(Relay::start(listen, network.cache(c), seed + c as u64).map_err(told("relay"))?);
+                dials.insert(cache_name(c), listen);
+            }
+            relays.push(mine);
+            let dial = move |name: &str| dials.get(name).copied();
+            let one = Discovery::start(network.member(i, 8_500), list.clone(), dial);
+            discovery.push(one.map_err(told("discovery"))?);
+            let fleet = plan.fleet.then(|| {
+                let join: Vec<SocketAddr> = advertised.iter().copied().take(plan.joins).collect();
+                let mut fleet = serde_json::json!({
+                    "name": "trial", "bind": own[i], "advertise": advertised[i], "join": join,
+                });
+                if let Some(object) = fleet.as_object_mut() {
+                    object.extend(plan.fleet_keys.clone());
+                }
+                fleet
+            });
+            members.push(MemberProcess::new(Spec {
+                name: format!("n{i}"),
+                program: program.clone(),
+                folder: folder.clone(),
+                listen: network.member(i, 6_379),
+                management: network.member(i, 9_000),
+                discovery: network.member(i, 8_500),
+                fleet,
+                advertised: advertised[i],
+                group_size: n,
+                seed,
+                planted: plan.planted.clone(),
+            }));
+        }
+        Ok(Ground {
+            plan,
+            begun: Instant::now(),
+            members,
+            caches,
+            list,
+            clients: None,
+            switch,
+            relays,
+            _discovery: discovery,
+            network,
+            folder,
+        })
+    }
+
+    /// Starts all processes at once.
+    pub fn start_all(&mut self) -> Result<(), String> {
+        self.members.iter_mut().try_for_each(MemberProcess::start)
+    }
+
+    /// Starts the clients, if the plan has any.
+    pub fn start_clients(&mut self) {
+        if self.plan.rate > 0.0 && self.clients.is_none() {
+            let doors: Vec<SocketAddr> =
+                (0..self.plan.instances).map(|i| self.network.member(i, 6_379)).collect();
+            // More at a time than the slowest class keeps out; each has one request out.
+            let workers = (self.plan.rate.ceil() as usize).clamp(8, 128);
+            self.clients = Some(Clients::start(&doors, workers, self.plan.rate, self.plan.seed, self.begun));
+        }
+    }
+
+    /// Ends the clients; what each asked, and how it went.
+    pub fn stop_clients(&mut self) -> Vec<crate::stand_ins::clients::Asked> {
+        self.clients.take().map(Clients::stop).unwrap_or_default()
+    }
+
+    /// The link for datagrams from one member to another.
+    pub fn link(&self, from: usize, to: usize) -> &Link {
+        self.switch.link(from, to)
+    }
+
+    /// The links between a member and a cache, there and back.
+    pub fn cache_links(&self, member: usize, cache: usize) -> [&Link; 2] {
+        let relay = &self.relays[member][cache];
+        [&relay.there, &relay.back]
+    }
+
+    /// Datagrams that the switch passed on, and those lost by faults.
+    pub fn datagrams(&self) -> (u64, u64) {
+        self.switch.counts()
+    }
+
+    /// Sets the faults of all links between two sets of members, in one direction.
+    pub fn set_links(&self, from: &[usize], to: &[usize], faults: Faults) {
+        for i in from {
+            for j in to.iter().filter(|j| *j != i) {
+                self.link(*i, *j).set(faults);
+            }
+        }
+    }
+
+    /// Ends a cache, and takes it from nobody's list: that comes later, as it does in service.
+    pub fn kill_cache(&mut self, n: usize) {
+        self.caches[n] = None;
+    }
+
+    /// Starts a cache again, cold.
+    pub fn start_cache(&mut self, n: usize, born_ms: u64) -> Result<(), String> {
+        let cache = Cache::start(&cache_name(n), self.network.cache(n), self.plan.cache);
+        self.caches[n] = Some(cache.map_err(|e| e.to_string())?);
+        self.list.put(&cache_name(n), Host { health: "in_service", born_ms });
+        Ok(())
+    }
+
+    /// What each member sees, of those that answer; `None` of the others.
+    pub fn views(&self) -> Vec<Option<View>> {
+        self.members.iter().map(MemberProcess::view).collect()
+    }
+
+    /// Waits until this holds, at most for so long; how long it took.
+    pub fn wait(&self, most: Duration, mut holds: impl FnMut(&Ground) -> bool) -> Option<Duration> {
+        let begun = Instant::now();
+        while begun.elapsed() < most {
+            if holds(self) {
+                return Some(begun.elapsed());
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/trials/src/main.rs
@@ -0,0 +1,149 @@
+//! Plays trials from the command line; the last line is the verdict.
+
+use clap::{Parser, Subcommand};
+use pipitrun_trials::ground::Plan;
+use pipitrun_trials::play::{Report, play};
+use pipitrun_trials::scenarios;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+/// Trials of many pipitrun processes, with faults between them.
+#[derive(Parser)]
+#[command(name = "pipitrun-trials", version, about)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Plays one scenario, by its name or from a file.
+    Run {
+        /// The scenario.
+        scenario: String,
+        /// Processes; as many as the scenario says if not given.
+        #[arg(long)]
+        instances: Option<usize>,
+        /// For all that is drawn; with --repeat the first of several.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How often, each time by the next seed.
+        #[arg(long, default_value_t = 1)]
+        repeat: u64,
+        /// Where figures and the record of faults are written, one JSON file for each play.
+        #[arg(long)]
+        out: Option<PathBuf>,
+        /// The program, if not the one beside this.
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// Without the key `fleet`: what the members did before they had a view.
+        #[arg(long)]
+        no_fleet: bool,
+        /// A mistake to plant; the program must have been built with the feature `planted`.
+        #[arg(long)]
+        planted: Option<String>,
+    },
+    /// Names the scenarios.
+    List,
+}
+
+fn main() -> ExitCode {
+    let interrupted = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGINT, signal_hook::consts::SIGTERM] {
+        if let Err(e) = signal_hook::flag::register(signal, Arc::clone(&interrupted)) {
+            eprintln!("pipitrun-trials: signals: {e}");
+        }
+    }
+    let result = match Arguments::parse().command {
+        Command::List => list(),
+        Command::Run { scenario, instances, seed, repeat, out, program, no_fleet, planted } => {
+            let plan = Plan { program, fleet: !no_fleet, planted, ..Plan::default() };
+            run(&scenario, instances, (seed, repeat), out, &plan, &interrupted)
+        }
+    };
+    result.unwrap_or_else(|e| {
+        eprintln!("pipitrun-trials: {e}");
+        println!("verdict: failed to play");
+        ExitCode::FAILURE
+    })
+}
+
+fn list() -> Result<ExitCode, String> {
+    for name in scenarios::names() {
+        println!("{name:14} {}", scenarios::find(name)?.about);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn run(
+    name: &str,
+    instances: Option<usize>,
+    (seed, repeat): (u64, u64),
+    out: Option<PathBuf>,
+    plan: &Plan,
+    interrupted: &AtomicBool,
+) -> Result<ExitCode, String> {
+    let scenario = scenarios::find(name)?;
+    let mut reports = Vec::new();
+    for seed in seed..seed + repeat {
+        let plan = Plan {
+            instances: instances.unwrap_or(scenario.instances),
+            caches: scenario.caches,
+            rate: scenario.rate,
+            seed,
+            ..plan.clone()
+        };
+        let report = play(&scenario, plan, interrupted)?;
+        println!("{} with {} instances, seed {seed}", scenario.name, report.instances);
+        for (at, what) in &report.done {
+            println!("  {at:7.2} s  {what}");
+        }
+        for (what, seconds) in &report.settled {
+            println!("  {what}: all views true after {seconds:.2} s");
+        }
+        println!("  greatest sum of shares {:.2}; requests {:?}", report.shares_most, report.requests);
+        for failure in &report.failures {
+            println!("  {:7.2} s  {}: {}", failure.at, failure.invariant, failure.what);
+        }
+        if let Some(out) = &out {
+            write(out, &report)?;
+        }
+        if repeat > 1 {
+            println!("  {}", report.verdict());
+        }
+        reports.push(report);
+        if interrupted.load(Ordering::Relaxed) {
+            break;
+        }
+    }
+    if reports.len() > 1 {
+        summary(&reports);
+    }
+    let failed = reports.iter().find(|report| report.failed > 0);
+    println!("{}", failed.or(reports.last()).map(Report::verdict).unwrap_or_default());
+    Ok(if failed.is_some() { ExitCode::FAILURE } else { ExitCode::SUCCESS })
+}
+
+fn write(out: &PathBuf, report: &Report) -> Result<(), String> {
+    let problem = |e: std::io::Error| format!("--out {}: {e}", out.display());
+    std::fs::create_dir_all(out).map_err(problem)?;
+    let planted = report.planted.as_ref().map(|p| format!("-{p}")).unwrap_or_default();
+    let file = format!("{}-{}-{}{planted}.json", report.scenario, report.instances, report.seed);
+    let json = serde_json::to_string_pretty(report).map_err(|e| e.to_string())?;
+    std::fs::write(out.join(file), json + "\n").map_err(problem)
+}
+
+fn summary(reports: &[Report]) {
+    let names: std::collections::BTreeSet<&String> = reports.iter().flat_map(|r| r.settled.keys()).collect();
+    for name in names {
+        let mut all: Vec<f64> = reports.iter().filter_map(|r| r.settled.get(name).copied()).collect();
+        all.sort_by(f64::total_cmp);
+        let (median, worst) = (all[all.len() / 2], all[all.len() - 1]);
+        println!("{name}: median {median:.2} s, worst {worst:.2} s of {}", all.len());
+    }
+    let shares = reports.iter().map(|r| r.shares_most).fold(0.0, f64::max);
+    let passed = reports.iter().filter(|r| r.failed == 0).count();
+    println!("greatest sum of shares {shares:.2}; {passed} of {} passed", reports.len());
+}
--- /dev/null
+++ b/crates/trials/src/member.rs
@@ -0,0 +1,276 @@
+//! One process of the program: its configuration, its signals, its log, and what it says of the fleet.
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde::{Deserialize, Serialize};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// How long a call of the operators' door may take; a stalled process answers none.
+const CALL: Duration = Duration::from_millis(1_000);
+/// The most log lines that are kept of one member.
+const LINES_MAX: usize = 100_000;
+
+/// How a process is started.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    /// Its name.
+    pub name: String,
+    /// What is started.
+    pub program: PathBuf,
+    /// Where its configuration is written.
+    pub folder: PathBuf,
+    /// Where its clients connect.
+    pub listen: SocketAddr,
+    /// Where the operators call.
+    pub management: SocketAddr,
+    /// Where it finds discovery.
+    pub discovery: SocketAddr,
+    /// The key `fleet`, if it is set.
+    pub fleet: Option<serde_json::Value>,
+    /// Where the other members send.
+    pub advertised: SocketAddr,
+    /// The settings' number of balancers.
+    pub group_size: usize,
+    /// For its random numbers.
+    pub seed: u64,
+    /// A planted mistake.
+    pub planted: Option<String>,
+}
+
+/// A line of a member's log, and when it came.
+#[derive(Clone, Debug, Serialize)]
+pub struct Line {
+    /// Seconds since the start of the trial.
+    pub at: f64,
+    /// The line.
+    pub text: String,
+}
+
+/// What the operators' door shows of the fleet.
+#[derive(Clone, Debug, Deserialize)]
+pub struct View {
+    /// Its own name.
+    pub name: String,
+    /// Its life.
+    pub generation: u64,
+    /// By how many shares are divided.
+    pub shared_by: usize,
+    /// Those who are there.
+    pub living: usize,
+    /// It hears nobody.
+    pub cut_off: bool,
+    /// The others.
+    pub members: Vec<Other>,
+    /// Its counts.
+    pub datagrams: serde_json::Map<String, serde_json::Value>,
+}
+
+/// Another member as one sees it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Other {
+    /// Its name.
+    pub name: String,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Its life.
+    pub generation: u64,
+    /// What it is.
+    pub state: String,
+}
+
+/// What a process is meant to do now, as the trial has it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Meant {
+    /// Not started yet, or ended without a word.
+    Down,
+    /// At work.
+    Up,
+    /// Stopped by a signal; it can be let go on.
+    Stopped,
+    /// Asked to end, or ended so.
+    Left,
+}
+
+/// A process and its log; it ends with this.
+pub struct MemberProcess {
+    /// How it is started.
+    pub spec: Spec,
+    /// What it is meant to do.
+    pub meant: Meant,
+    child: Option<Child>,
+    begun: Instant,
+    lines: Arc<Mutex<Vec<Line>>>,
+    starts: u64,
+}
+
+impl Drop for MemberProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl MemberProcess {
+    /// A process that is not started yet.
+    pub fn new(spec: Spec) -> Self {
+        let (begun, lines) = (Instant::now(), Arc::default());
+        MemberProcess { spec, meant: Meant::Down, child: None, begun, lines, starts: 0 }
+    }
+
+    /// Starts it, under the same name and addresses each time.
+    pub fn start(&mut self) -> Result<(), String> {
+        self.kill();
+        self.starts += 1;
+        let spec = &self.spec;
+        let mut config = serde_json::json!({
+            "name": spec.name, "listen": spec.listen, "discovery": spec.discovery, "management": spec.management,
+            "seed": format!("{:x}", spec.seed.wrapping_add(self.starts * 7_919)),
+            "settings": settings(spec.group_size),
+        });
+        if let (Some(fleet), Some(object)) = (&spec.fleet, config.as_object_mut()) {
+            object.insert("fleet".into(), fleet.clone());
+        }
+        let path = spec.folder.join(format!("{}.json", spec.name));
+        std::fs::write(&path, config.to_string()).map_err(|e| format!("{}: {e}", path.display()))?;
+        let mut command = Command::new(&spec.program);
+        command.env_clear().env("GW_CONFIG", &path).env("RUST_LOG", "info");
+        if let Some(planted) = &spec.planted {
+            command.env("PIPITRUN_PLANTED", planted);
+        }
+        let mut child = command
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .map_err(|e| format!("{}: {e}", spec.program.display()))?;
+        if let Some(log) = child.stderr.take() {
+            let (lines, begun) = (Arc::clone(&self.lines), self.begun);
+            // Read on though nobody asks, or the program would wait for its log to be read.
+            std::thread::spawn(move || {
+                for text in BufReader::new(log).lines().map_while(Result::ok) {
+                    let mut lines = lines.lock().unwrap_or_else(PoisonError::into_inner);
+                    if lines.len() < LINES_MAX {
+                        lines.push(Line { at: begun.elapsed().as_secs_f64(), text });
+                    }
+                }
+            });
+        }
+        self.child = Some(child);
+        self.meant = Meant::Up;
+        Ok(())
+    }
+
+    /// Its log so far, over all its lives.
+    pub fn log(&self) -> Vec<Line> {
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(pid) = self.child.as_ref().and_then(|child| i32::try_from(child.id()).ok()) {
+            let _ = kill(Pid::from_raw(pid), signal);
+        }
+    }
+
+    /// Ends it without a word.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+            self.meant = Meant::Down;
+        }
+    }
+
+    /// It stands still.
+    pub fn stop(&mut self) {
+        self.signal(Signal::SIGSTOP);
+        self.meant = Meant::Stopped;
+    }
+
+    /// It goes on.
+    pub fn go_on(&mut self) {
+        self.signal(Signal::SIGCONT);
+        self.meant = Meant::Up;
+    }
+
+    /// It is asked to end.
+    pub fn term(&mut self) {
+        self.signal(Signal::SIGTERM);
+        self.meant = Meant::Left;
+    }
+
+    /// How it ended, if it has; it is waited for that long.
+    pub fn ended(&mut self, most: Duration) -> Option<ExitStatus> {
+        let begun = Instant::now();
+        let child = self.child.as_mut()?;
+        loop {
+            match child.try_wait() {
+                Ok(Some(status)) => return Some(status),
+                _ if begun.elapsed() >= most => return None,
+                _ => std::thread::sleep(Duration::from_millis(5)),
+            }
+        }
+    }
+
+    /// Descriptors that the process holds open.
+    pub fn descriptors(&self) -> Option<usize> {
+        let pid = self.child.as_ref()?.id();
+        Some(std::fs::read_dir(format!("/proc/{pid}/fd")).ok()?.count())
+    }
+
+    /// Resident memory of the process, in bytes.
+    pub fn memory(&self) -> Option<u64> {
+        let pid = self.child.as_ref()?.id();
+        let text = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        Some(line.trim().strip_suffix("kB")?.trim().parse::<u64>().ok()? * 1_024)
+    }
+
+    /// A call of the operators, and the body of its answer if it is 200.
+    pub fn call(&self, path: &str) -> Option<String> {
+        let mut stream = TcpStream::connect_timeout(&self.spec.management, CALL).ok()?;
+        stream.set_read_timeout(Some(CALL)).ok()?;
+        write!(stream, "GET {path} HTTP/1.1\r\n\r\n").ok()?;
+        let mut text = String::new();
+        stream.read_to_string(&mut text).ok()?;
+        let (head, body) = text.split_once("\r\n\r\n")?;
+        head.starts_with("HTTP/1.1 200 ").then(|| body.to_string())
+    }
+
+    /// What it sees of the fleet, if it is at work and answers.
+    pub fn view(&self) -> Option<View> {
+        if self.meant != Meant::Up {
+            return None;
+        }
+        serde_json::from_str(&self.call("/admin/fleet")?).ok()
+    }
+}
+
+/// The settings of all members; the classes are those of `stand_ins::clients`.
+fn settings(group_size: usize) -> serde_json::Value {
+    serde_json::json!({
+        "areas": ["dc-vake"], "machine_types": ["small-1c"],
+        "accounts": [{"name": "kvemo-tetri", "allowance_per_s": 1000.0}],
+        "over_share_worth": 0.2, "group_size": group_size, "membership_mode": "subscribe", "step_ns": 1_000_000,
+        "caps": {
+            "max_attempts": 3, "second_copies": true, "may_cancel": true, "may_probe": true, "retry_after": true,
+            "max_retry_after_ns": 1_200_000_000u64, "conn_idle_ns": 30_000_000_000u64,
+            "connect_timeout_ns": 150_000_000, "max_open": 10_000,
+        },
+        "obligations": {
+            "grace_to_answer_ns": 16_000_000, "drain_grace_ns": 2_500_000_000u64, "must_ask_in_ns": 10_000_000_000u64,
+            "cold_from": 0.12, "warm_after_ns": 23_000_000_000u64, "overload_factor": 2.5,
+            "tip_after_ns": 2_000_000_000u64,
+        },
+        "profiles": [
+            {"name": "tile-read", "repeat": "safe", "goal_time_ns": 300_000_000, "give_up_ns": 600_000_000, "worth": 3.0},
+            {"name": "status-set", "repeat": "keyed", "group": "all", "memory_span_ns": 2_000_000_000u64,
+             "goal_time_ns": 300_000_000, "give_up_ns": 1_000_000_000, "worth": 10.0},
+            {"name": "map-publish", "repeat": "unsafe", "goal_time_ns": 600_000_000, "give_up_ns": 2_500_000_000u64,
+             "worth": 5.0},
+        ],
+    })
+}
--- /dev/null
+++ b/crates/trials/src/referee.rs
@@ -0,0 +1,294 @@
+//! The referee: what the trial did is what is true; what members, clients and caches saw is held against it.
+
+use crate::ground::Ground;
+use crate::member::{Meant, View};
+use crate::stand_ins::clients::{Asked, End};
+use serde::Serialize;
+use std::collections::{BTreeMap, HashMap};
+
+/// Failures that are told in full; the others are counted.
+const TOLD_MAX: usize = 50;
+/// A member that stood still says so itself; whatever the machine made of it, nothing near it is held against anybody.
+const NEAR: f64 = 12.0;
+/// An answer may come this much after its deadline: reading, writing and a busy machine between two processes.
+const SLACK: f64 = 1.0;
+
+/// What went wrong.
+#[derive(Clone, Debug, Serialize)]
+pub struct Failure {
+    /// Seconds since the start of the trial.
+    pub at: f64,
+    /// Which invariant.
+    pub invariant: &'static str,
+    /// Who, and what was seen.
+    pub what: String,
+}
+
+/// A span in which something was wrong with a member, by the trial's doing.
+#[derive(Clone, Copy, Debug)]
+struct Span {
+    from: f64,
+    to: Option<f64>,
+}
+
+/// What is true, since when, and what broke.
+#[derive(Default)]
+pub struct Referee {
+    /// By member: when it was down, stopped or leaving.
+    away: HashMap<usize, Vec<Span>>,
+    /// By pair, in one direction: when it was cut.
+    cut: HashMap<(usize, usize), Vec<Span>>,
+    failures: Vec<Failure>,
+    count: usize,
+    /// The greatest sum of shares that was seen.
+    pub shares: f64,
+}
+
+fn begin(spans: &mut Vec<Span>, at: f64) {
+    if spans.last().is_none_or(|span| span.to.is_some()) {
+        spans.push(Span { from: at, to: None });
+    }
+}
+
+fn end(spans: &mut [Span], at: f64) {
+    if let Some(span) = spans.last_mut().filter(|span| span.to.is_none()) {
+        span.to = Some(at);
+    }
+}
+
+/// Whether any of these spans reaches into that time.
+fn near(spans: Option<&Vec<Span>>, from: f64, to: f64) -> bool {
+    spans.is_some_and(|spans| spans.iter().any(|s| s.from <= to && s.to.is_none_or(|end| end >= from)))
+}
+
+impl Referee {
+    /// A member is away from now on, or back.
+    pub fn away(&mut self, at: f64, member: usize, away: bool) {
+        let spans = self.away.entry(member).or_default();
+        if away { begin(spans, at) } else { end(spans, at) }
+    }
+
+    /// A link is cut from now on, or open.
+    pub fn cut(&mut self, at: f64, from: usize, to: usize, cut: bool) {
+        let spans = self.cut.entry((from, to)).or_default();
+        if cut { begin(spans, at) } else { end(spans, at) }
+    }
+
+    /// Notes a failure.
+    pub fn fail(&mut self, at: f64, invariant: &'static str, what: String) {
+        self.count += 1;
+        if self.failures.len() < TOLD_MAX {
+            self.failures.push(Failure { at, invariant, what });
+        }
+    }
+
+    /// What broke, and how often in all.
+    pub fn failures(&self) -> (&[Failure], usize) {
+        (&self.failures, self.count)
+    }
+
+    fn open(&self, from: usize, to: usize) -> bool {
+        self.cut.get(&(from, to)).and_then(|spans| spans.last()).is_none_or(|span| span.to.is_some())
+    }
+
+    /// Who is reached from whom, over others too, by ways that are open in both directions: a number for each side.
+    pub fn sides(&self, n: usize) -> Vec<usize> {
+        let mut side: Vec<usize> = (0..n).collect();
+        loop {
+            let mut changed = false;
+            for i in 0..n {
+                for j in 0..n {
+                    if side[j] < side[i] && self.open(i, j) && self.open(j, i) {
+                        side[i] = side[j];
+                        changed = true;
+                    }
+                }
+            }
+            if !changed {
+                return side;
+            }
+        }
+    }
+
+    /// The first thing in which a member's view is not true, if any.
+    pub fn untrue(&self, ground: &Ground, views: &[Option<View>], suspicions: bool) -> Option<String> {
+        let n = ground.members.len();
+        let side = self.sides(n);
+        for (i, view) in views.iter().enumerate() {
+            if ground.members[i].meant != Meant::Up {
+                continue;
+            }
+            let Some(view) = view else { return Some(format!("n{i} does not answer")) };
+            let seen: HashMap<_, _> = view.members.iter().map(|m| (m.address, m)).collect();
+            for (j, other) in ground.members.iter().enumerate().filter(|(j, _)| *j != i) {
+                let state = seen.get(&other.spec.advertised).map(|m| m.state.as_str());
+                let right = match other.meant {
+                    Meant::Up if side[i] != side[j] => matches!(state, Some("dead") | None),
+                    Meant::Up => {
+                        let same = views[j].as_ref().map(|v| v.generation);
+                        let life = seen.get(&other.spec.advertised).map(|m| m.generation);
+                        (state == Some("serving") || suspicions && state == Some("stalled")) && same == life
+                    }
+                    Meant::Stopped => matches!(state, Some("stalled" | "dead")),
+                    Meant::Left => matches!(state, Some("left" | "draining") | None),
+                    Meant::Down => matches!(state, Some("dead" | "left") | None),
+                };
+                if !right {
+                    return Some(format!(
+                        "n{i} sees n{j} as {}, which is {:?}",
+                        state.unwrap_or("unknown"),
+                        other.meant
+                    ));
+                }
+            }
+        }
+        None
+    }
+
+    /// Holds the sum of all shares against its bound.
+    pub fn shares(&mut self, at: f64, views: &[Option<View>], most: f64) {
+        let sum: f64 = views.iter().flatten().map(|v| 1.0 / v.shared_by.max(1) as f64).sum();
+        self.shares = self.shares.max(sum);
+        if sum > most {
+            let divisors: Vec<usize> = views.iter().flatten().map(|v| v.shared_by).collect();
+            self.fail(
+                at,
+                "shares",
+                format!("the shares sum to {sum:.2}, over {most}: divided by {divisors:?}"),
+            );
+        }
+    }
+
+    /// Reads the members' logs for deaths that were none: of a member that was there, stood not still, and could be
+    /// reached, for as long as it takes to find a death.
+    pub fn false_deaths(&mut self, ground: &Ground) -> usize {
+        let n = ground.members.len();
+        let logs: Vec<Vec<crate::member::Line>> = ground.members.iter().map(|m| m.log()).collect();
+        let stood: Vec<Vec<f64>> = logs
+            .iter()
+            .map(|log| log.iter().filter(|l| l.text.contains("stood still")).map(|l| l.at).collect())
+            .collect();
+        let mut found = 0;
+        for (i, log) in logs.iter().enumerate() {
+            for line in log.iter().filter(|l| l.text.contains("fleet: ") && l.text.contains(" is dead")) {
+                let Some(j) = (0..n).find(|j| {
+                    let address = ground.members[*j].spec.advertised;
+                    line.text.contains(&format!("address={address} "))
+                }) else {
+                    continue;
+                };
+                let (from, to) = (line.at - NEAR, line.at);
+                let excused = near(self.away.get(&j), from, to)
+                    || near(self.away.get(&i), from, to)
+                    || near(self.cut.get(&(i, j)), from, to)
+                    || near(self.cut.get(&(j, i)), from, to)
+                    || stood[j].iter().chain(&stood[i]).any(|at| (at - line.at).abs() < NEAR);
+                if !excused {
+                    found += 1;
+                    self.fail(line.at, "false-death", format!("n{i} took n{j} for dead: {}", line.text));
+                }
+            }
+            for line in log.iter().filter(|l| l.text.contains("panicked")) {
+                self.fail(line.at, "panic", format!("n{i}: {}", line.text));
+            }
+        }
+        found
+    }
+
+    /// Judges what the clients saw: one answer at most, a true one, and in time unless its balancer was away.
+    pub fn clients(&mut self, asked: &[Asked]) -> BTreeMap<String, usize> {
+        let mut ends: BTreeMap<String, usize> = BTreeMap::new();
+        for one in asked {
+            *ends.entry(format!("{:?}", one.end).to_lowercase()).or_default() += 1;
+            let what = || {
+                format!(
+                    "{} ({}) at n{}: {:?} after {:.3} s",
+                    one.id, one.class, one.balancer, one.end, one.took
+                )
+            };
+            if one.extra {
+                self.fail(one.at, "one-answer", format!("more than one answer: {}", what()));
+            }
+            if one.end == End::Wrong {
+                self.fail(one.at, "true-answer", what());
+            }
+            let away = near(self.away.get(&one.balancer), one.at - 1.0, one.at + one.took);
+            let deadline = match one.class {
+                "tile-read" => 0.6,
+                "status-set" => 1.0,
+                _ => 2.5,
+            };
+            let late = one.took > deadline + SLACK && !matches!(one.end, End::NoDoor);
+            let lost = matches!(one.end, End::Never | End::Broken | End::NoDoor) || late;
+            if lost && !away {
+                self.fail(one.at, "answered-in-time", what());
+            }
+        }
+        ends
+    }
+
+    /// Judges what the caches did: a write that must not run twice ran at most once.
+    pub fn caches(&mut self, at: f64, ground: &Ground) {
+        let mut effects: HashMap<String, u32> = HashMap::new();
+        for cache in ground.caches.iter().flatten() {
+            for (id, done) in cache.executed() {
+                if done.class == "map-publish" {
+                    *effects.entry(id).or_default() += done.effects;
+                }
+            }
+        }
+        for (id, times) in effects.into_iter().filter(|(_, times)| *times > 1) {
+            self.fail(at, "runs-once", format!("{id} (map-publish) ran {times} times"));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn sides_follow_the_ways_that_are_open_in_both_directions() {
+        let mut referee = Referee::default();
+        assert_eq!(referee.sides(4), [0; 4]);
+        referee.cut(1.0, 0, 1, true);
+        assert_eq!(referee.sides(4), [0; 4], "over others they reach each other");
+        for (from, to) in [(0, 2), (0, 3), (2, 1)] {
+            referee.cut(1.0, from, to, true);
+        }
+        assert_eq!(referee.sides(4), [0, 1, 1, 1]);
+        referee.cut(2.0, 0, 3, false);
+        assert_eq!(referee.sides(4), [0; 4]);
+    }
+
+    #[test]
+    fn what_clients_saw_is_held_against_what_was_done_to_their_balancer() {
+        let one = |at, end, took, extra| Asked {
+            id: "1".into(),
+            class: "tile-read",
+            balancer: 2,
+            at,
+            took,
+            end,
+            extra,
+        };
+        let mut referee = Referee::default();
+        referee.away(10.0, 2, true);
+        referee.away(12.0, 2, false);
+        let fine = [
+            one(1.0, End::Served, 0.1, false),
+            one(10.5, End::Broken, 0.1, false),
+            one(11.0, End::NoDoor, 0.0, false),
+        ];
+        assert_eq!(referee.clients(&fine)["served"], 1);
+        assert_eq!(referee.failures().1, 0);
+        let bad = [
+            one(1.0, End::Broken, 0.1, false),
+            one(1.0, End::Wrong, 0.1, false),
+            one(1.0, End::Refused, 1.7, false),
+            one(1.0, End::Served, 0.1, true),
+        ];
+        referee.clients(&bad);
+        assert_eq!(referee.failures().1, 4);
+    }
+}
--- /dev/null
+++ b/crates/trials/src/relay.rs
@@ -0,0 +1,154 @@
+//! Streams between a process and what it calls, each direction with faults of its own.
+
+use crate::faults::Link;
+use rand::{RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use socket2::SockRef;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+/// How often a thread that waits looks whether it is to end, and what is wrong now.
+const LOOK: Duration = Duration::from_millis(20);
+/// What is read at once.
+const PIECE: usize = 16 * 1024;
+
+/// A relay in front of one address; it ends with this, and so do its connections.
+pub struct Relay {
+    end: Arc<AtomicBool>,
+    /// From who connects to who is called.
+    pub there: Link,
+    /// The way back.
+    pub back: Link,
+}
+
+impl Relay {
+    /// Takes connections at one address and passes them on to another.
+    pub fn start(listen: SocketAddr, target: SocketAddr, seed: u64) -> io::Result<Self> {
+        let listener = TcpListener::bind(listen)?;
+        listener.set_nonblocking(true)?;
+        let relay = Relay { end: Arc::default(), there: Link::default(), back: Link::default() };
+        let (end, there, back) = (Arc::clone(&relay.end), relay.there.clone(), relay.back.clone());
+        std::thread::spawn(move || {
+            let mut number = seed;
+            while !end.load(Ordering::Relaxed) {
+                match listener.accept() {
+                    Ok((stream, _)) => {
+                        number = number.wrapping_add(2);
+                        let (end, there, back) = (Arc::clone(&end), there.clone(), back.clone());
+                        std::thread::spawn(move || carry(stream, target, &end, [there, back], number));
+                    }
+                    Err(_) => std::thread::sleep(Duration::from_millis(2)),
+                }
+            }
+        });
+        Ok(relay)
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.end.store(true, Ordering::Relaxed);
+    }
+}
+
+fn reset(stream: &TcpStream) {
+    // With no time to linger the close is a reset.
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
+fn carry(near: TcpStream, target: SocketAddr, end: &Arc<AtomicBool>, [there, back]: [Link; 2], seed: u64) {
+    // While the way is cut a connection comes up at the relay and then hears nothing.
+    while there.get().cut && !end.load(Ordering::Relaxed) {
+        std::thread::sleep(LOOK);
+    }
+    let _ = near.set_nonblocking(false);
+    let Ok(far) = TcpStream::connect(target) else { return reset(&near) };
+    let (Ok(near2), Ok(far2)) = (near.try_clone(), far.try_clone()) else { return };
+    // A reset of either direction ends both.
+    let over = Arc::new(AtomicBool::new(false));
+    let ends = [Arc::clone(end), Arc::clone(&over)];
+    let thread = std::thread::spawn(move || pump(&far2, &near2, &back, &ends, seed + 1));
+    pump(&near, &far, &there, &[Arc::clone(end), over], seed);
+    let _ = thread.join();
+}
+
+/// Passes bytes on until either side ends, with what is wrong on the way now.
+fn pump(mut from: &TcpStream, mut to: &TcpStream, link: &Link, ends: &[Arc<AtomicBool>; 2], seed: u64) {
+    let ended = || ends.iter().any(|end| end.load(Ordering::Relaxed));
+    let break_off = || {
+        reset(from);
+        reset(to);
+        ends[1].store(true, Ordering::Relaxed);
+    };
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+    let mut bytes = [0; PIECE];
+    let _ = from.set_read_timeout(Some(LOOK));
+    let _ = to.set_nodelay(true);
+    loop {
+        let faults = link.get();
+        if faults.reset || ended() {
+            return break_off();
+        }
+        if faults.cut {
+            // Bytes wait in the system's buffers; keep-alive notices nothing.
+            std::thread::sleep(LOOK);
+            continue;
+        }
+        let length = match from.read(&mut bytes) {
+            Ok(0) => break,
+            Ok(length) => length,
+            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => continue,
+            Err(_) => return break_off(),
+        };
+        let wait = faults.delay_ms + rng.random_range(0..=faults.jitter_ms);
+        std::thread::sleep(Duration::from_millis(wait));
+        let step = if faults.drip_ms > 0 { 1 } else { length };
+        let mut broken = false;
+        for piece in bytes[..length].chunks(step) {
+            std::thread::sleep(Duration::from_millis(faults.drip_ms));
+            broken |= to.write_all(piece).is_err();
+            if broken || ended() {
+                break;
+            }
+        }
+        if broken {
+            return break_off();
+        }
+    }
+    let _ = to.shutdown(Shutdown::Write);
+    let _ = from.shutdown(Shutdown::Read);
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::faults::Faults;
+
+    #[test]
+    fn a_stream_passes_stands_still_while_cut_goes_on_and_is_reset() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let free = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let relay = Relay::start(free, listener.local_addr().unwrap(), 1).unwrap();
+        let mut near = TcpStream::connect(free).unwrap();
+        near.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        let (mut far, _) = listener.accept().unwrap();
+        near.write_all(b"there").unwrap();
+        let mut bytes = [0; 5];
+        far.read_exact(&mut bytes).unwrap();
+        relay.back.set(Faults { cut: true, ..Faults::default() });
+        std::thread::sleep(3 * LOOK);
+        far.write_all(b"later").unwrap();
+        near.set_read_timeout(Some(3 * LOOK)).unwrap();
+        assert!(near.read(&mut bytes).is_err(), "nothing passes");
+        near.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        relay.back.set(Faults { drip_ms: 1, ..Faults::default() });
+        near.read_exact(&mut bytes).unwrap();
+        assert_eq!(&bytes, b"later", "nothing is lost of a stream");
+        relay.there.set(Faults { reset: true, ..Faults::default() });
+        let ended = near.read(&mut bytes).map_err(|e| e.kind());
+        assert_eq!(ended, Err(io::ErrorKind::ConnectionReset));
+    }
+}
--- /dev/null
+++ b/crates/trials/src/stand_ins/cache.rs
@@ -0,0 +1,207 @@
+//! A tile cache of limited room: it works at so many requests at a time, lets so many wait, starts cold, reads through,
+//! and counts every execution.
+
+use super::{Door, resp};
+use std::collections::{HashMap, HashSet};
+use std::io::{self, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// How a cache works.
+#[derive(Clone, Copy, Debug)]
+pub struct CacheOptions {
+    /// Requests at work at a time.
+    pub slots: usize,
+    /// Requests that wait for a slot; more are turned away.
+    pub queue: usize,
+    /// What a request takes when the cache is warm.
+    pub service: Duration,
+    /// What a miss takes beyond that.
+    pub fetch: Duration,
+    /// The share of its speed that it starts with.
+    pub cold_from: f64,
+    /// It is warm after this.
+    pub warm_after: Duration,
+    /// A repeat of a keyed write is dropped for this long.
+    pub window: Duration,
+}
+
+impl Default for CacheOptions {
+    fn default() -> Self {
+        CacheOptions {
+            slots: 4,
+            queue: 32,
+            service: Duration::from_millis(8),
+            fetch: Duration::from_millis(20),
+            cold_from: 1.0,
+            warm_after: Duration::ZERO,
+            window: Duration::from_secs(2),
+        }
+    }
+}
+
+/// What a cache did for one request id.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Executed {
+    /// How often it began it.
+    pub times: u32,
+    /// It was a write that took effect so often; a dropped repeat took none.
+    pub effects: u32,
+    /// Its idempotency key, if any.
+    pub key: Option<String>,
+    /// Its class.
+    pub class: String,
+}
+
+#[derive(Default)]
+struct State {
+    at_work: usize,
+    waiting: usize,
+    turned_away: u64,
+    held: HashSet<Vec<u8>>,
+    written: HashMap<Vec<u8>, Vec<u8>>,
+    seen: HashMap<String, Instant>,
+    executed: HashMap<String, Executed>,
+}
+
+struct Shared {
+    name: String,
+    options: CacheOptions,
+    started: Instant,
+    state: Mutex<State>,
+    freed: Condvar,
+}
+
+impl Shared {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// How much slower than warm it is now, 1 or more.
+    fn slowness(&self) -> f64 {
+        let warm = self.options.warm_after.as_secs_f64();
+        let age = self.started.elapsed().as_secs_f64();
+        let part = if warm > 0.0 { (age / warm).min(1.0) } else { 1.0 };
+        1.0 / (self.options.cold_from + (1.0 - self.options.cold_from) * part)
+    }
+}
+
+/// A tile cache; it ends with this, and so do its connections.
+pub struct Cache {
+    shared: Arc<Shared>,
+    _door: Door,
+}
+
+impl Cache {
+    /// Starts it at an address.
+    pub fn start(name: &str, address: SocketAddr, options: CacheOptions) -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            name: name.into(),
+            options,
+            started: Instant::now(),
+            state: Mutex::default(),
+            freed: Condvar::new(),
+        });
+        let serving = Arc::clone(&shared);
+        let door = Door::open(address, move |stream| serve(&serving, stream))?;
+        Ok(Cache { shared, _door: door })
+    }
+
+    /// What it did, by request id.
+    pub fn executed(&self) -> HashMap<String, Executed> {
+        self.shared.state().executed.clone()
+    }
+
+    /// Requests that it turned away.
+    pub fn turned_away(&self) -> u64 {
+        self.shared.state().turned_away
+    }
+}
+
+fn serve(shared: &Shared, stream: TcpStream) -> io::Result<()> {
+    let mut input = BufReader::new(stream.try_clone()?);
+    let mut output = stream;
+    loop {
+        let words = resp::command(&mut input)?;
+        let words: Vec<&[u8]> = words.iter().map(Vec::as_slice).collect();
+        match words[..] {
+            [b"C.GET", key, id, options] => {
+                answer(shared, &mut output, key, id, options, None)?;
+            }
+            [b"C.SET", key, id, options, value] => {
+                answer(shared, &mut output, key, id, options, Some(value))?;
+            }
+            [b"PING", ..] => output.write_all(b"+PONG\r\n")?,
+            _ => output.write_all(b"-SYNTAX\r\n")?,
+        }
+    }
+}
+
+/// A field of a command's list of names and values.
+fn field(options: &str, name: &str) -> Option<String> {
+    options.split(',').find_map(|pair| Some(pair.split_once('=').filter(|(n, _)| *n == name)?.1.to_string()))
+}
+
+fn answer(
+    shared: &Shared,
+    output: &mut TcpStream,
+    key: &[u8],
+    id: &[u8],
+    options: &[u8],
+    value: Option<&[u8]>,
+) -> io::Result<()> {
+    let (id, options) = (String::from_utf8_lossy(id).into_owned(), String::from_utf8_lossy(options));
+    let k = field(&options, "k");
+    let (note, word) = {
+        let mut state = shared.state();
+        if state.at_work >= shared.options.slots {
+            if state.waiting >= shared.options.queue {
+                state.turned_away += 1;
+                drop(state);
+                return output.write_all(b"-BUSY\r\n");
+            }
+            state.waiting += 1;
+            while state.at_work >= shared.options.slots {
+                state = shared.freed.wait(state).unwrap_or_else(PoisonError::into_inner);
+            }
+            state.waiting -= 1;
+        }
+        state.at_work += 1;
+        let dropped = value.is_some()
+            && k.as_ref().is_some_and(|k| {
+                let seen = state.seen.insert(k.clone(), Instant::now());
+                seen.is_some_and(|at| at.elapsed() < shared.options.window)
+            });
+        let executed = state.executed.entry(id).or_default();
+        executed.times += 1;
+        executed.effects += u32::from(value.is_some() && !dropped);
+        executed.class = field(&options, "c").unwrap_or_default();
+        executed.key = k;
+        match value {
+            Some(value) => {
+                state.held.remove(key);
+                state.written.insert(key.to_vec(), value.to_vec());
+                (None, b"stored".to_vec())
+            }
+            None => {
+                let hit = !state.held.insert(key.to_vec());
+                let made =
+                    || format!("tile {} by {}", String::from_utf8_lossy(key), shared.name).into_bytes();
+                let word = state.written.get(key).cloned().unwrap_or_else(made);
+                (Some(if hit { "hit" } else { "miss" }), word)
+            }
+        }
+    };
+    let fetch = if note == Some("miss") { shared.options.fetch } else { Duration::ZERO };
+    std::thread::sleep(shared.options.service.mul_f64(shared.slowness()) + fetch);
+    shared.state().at_work -= 1;
+    shared.freed.notify_one();
+    let mut bytes = format!("*3\r\n${}\r\n", word.len()).into_bytes();
+    bytes.extend(word);
+    bytes.extend(match note {
+        Some(note) => format!("\r\n${}\r\n{note}\r\n$-1\r\n", note.len()).into_bytes(),
+        None => b"\r\n$-1\r\n$-1\r\n".to_vec(),
+    });
+    output.write_all(&bytes)
+}
--- /dev/null
+++ b/crates/trials/src/stand_ins/mod.rs
@@ -0,0 +1,69 @@
+//! Stand-ins for what a balancer meets: tile caches, discovery and clients. They speak the published protocol, over
+//! loopback, and keep count of all that they saw.
+
+pub mod cache;
+pub mod clients;
+pub mod discovery;
+pub mod resp;
+
+use std::io;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// A listening thread and the connections it took; all end with this.
+pub struct Door {
+    end: Arc<AtomicBool>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
+    thread: Option<std::thread::JoinHandle<()>>,
+}
+
+impl Door {
+    /// Takes connections at an address, each in a thread of its own.
+    pub fn open(
+        address: SocketAddr,
+        serve: impl Fn(TcpStream) -> io::Result<()> + Clone + Send + 'static,
+    ) -> io::Result<Self> {
+        let listener =
+            TcpListener::bind(address).map_err(|e| io::Error::new(e.kind(), format!("{address}: {e}")))?;
+        listener.set_nonblocking(true)?;
+        let (end, open) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::<TcpStream>::new())));
+        let (ending, taken) = (Arc::clone(&end), Arc::clone(&open));
+        let thread = std::thread::spawn(move || {
+            while !ending.load(Ordering::Relaxed) {
+                let Ok((stream, _)) = listener.accept() else {
+                    std::thread::sleep(Duration::from_millis(2));
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                let _ = stream.set_nodelay(true);
+                if let Ok(clone) = stream.try_clone() {
+                    let mut open = taken.lock().unwrap_or_else(PoisonError::into_inner);
+                    open.retain(|s| s.peer_addr().is_ok());
+                    open.push(clone);
+                }
+                let serve = serve.clone();
+                std::thread::spawn(move || {
+                    let _ = serve(stream.try_clone()?);
+                    // The clone above must not keep an ended connection open.
+                    stream.shutdown(Shutdown::Both)
+                });
+            }
+        });
+        Ok(Door { end, open, thread: Some(thread) })
+    }
+}
+
+impl Drop for Door {
+    fn drop(&mut self) {
+        self.end.store(true, Ordering::Relaxed);
+        // The listener is gone once its thread has ended; connections that came last are among the taken.
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+        for stream in self.open.lock().unwrap_or_else(PoisonError::into_inner).drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
--- /dev/null
+++ b/crates/trials/src/stand_ins/resp.rs
@@ -0,0 +1,106 @@
+//! RESP2, as far as the stand-ins speak it.
+
+use std::io::{self, BufRead};
+
+/// The longest word that is read.
+const WORD_MAX: usize = 65_536;
+/// The most words of a command, and elements of an answer.
+const WORDS_MAX: usize = 16;
+
+/// An answer of a balancer, or an element of one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// A bulk string, or null.
+    Bulk(Option<Vec<u8>>),
+    /// A simple string or an integer.
+    Line(String),
+    /// An error.
+    Error(String),
+    /// An array.
+    Array(Vec<Answer>),
+}
+
+fn line(input: &mut impl BufRead) -> io::Result<String> {
+    let mut line = String::new();
+    input.read_line(&mut line)?;
+    if !line.ends_with('\n') {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    line.truncate(line.trim_end().len());
+    Ok(line)
+}
+
+fn number(text: &str, most: usize) -> io::Result<usize> {
+    let number = text.parse().ok().filter(|n| *n <= most);
+    number.ok_or_else(|| io::Error::other(format!("\"{text}\" is no length")))
+}
+
+fn word(input: &mut impl BufRead, length: usize) -> io::Result<Vec<u8>> {
+    let mut word = vec![0; length + 2];
+    input.read_exact(&mut word)?;
+    word.truncate(length);
+    Ok(word)
+}
+
+/// The next command: its words.
+pub fn command(input: &mut impl BufRead) -> io::Result<Vec<Vec<u8>>> {
+    let head = line(input)?;
+    let words = number(head.strip_prefix('*').unwrap_or_default(), WORDS_MAX)?;
+    (0..words)
+        .map(|_| {
+            let head = line(input)?;
+            let length = number(head.strip_prefix('$').unwrap_or_default(), WORD_MAX)?;
+            word(input, length)
+        })
+        .collect()
+}
+
+/// A command on the wire.
+pub fn write_command(words: &[&[u8]]) -> Vec<u8> {
+    let mut bytes = format!("*{}\r\n", words.len()).into_bytes();
+    for word in words {
+        bytes.extend(format!("${}\r\n", word.len()).as_bytes());
+        bytes.extend(*word);
+        bytes.extend(b"\r\n");
+    }
+    bytes
+}
+
+/// The next answer.
+pub fn answer(input: &mut impl BufRead) -> io::Result<Answer> {
+    let head = line(input)?;
+    let (kind, rest) = head.split_at_checked(1).unwrap_or(("", ""));
+    match kind {
+        "+" | ":" => Ok(Answer::Line(rest.into())),
+        "-" => Ok(Answer::Error(rest.into())),
+        "$" if rest == "-1" => Ok(Answer::Bulk(None)),
+        "$" => Ok(Answer::Bulk(Some(word(input, number(rest, WORD_MAX)?)?))),
+        "*" => {
+            let length = number(rest, WORDS_MAX)?;
+            Ok(Answer::Array((0..length).map(|_| answer(input)).collect::<io::Result<_>>()?))
+        }
+        _ => Err(io::Error::other(format!("\"{head}\" is no answer"))),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn commands_and_answers_are_read_whole_and_faulty_ones_named() {
+        let bytes = write_command(&[b"C.GET", b"a b", b""]);
+        assert_eq!(command(&mut bytes.as_slice()).unwrap(), [b"C.GET".to_vec(), b"a b".to_vec(), Vec::new()]);
+        for cut in 0..bytes.len() {
+            assert!(command(&mut &bytes[..cut]).is_err(), "after {cut}");
+        }
+        let text = b"*3\r\n$1\r\nv\r\n$-1\r\n+x\r\n-BUSY 7\r\n";
+        let mut input = text.as_slice();
+        let array = [Answer::Bulk(Some(b"v".to_vec())), Answer::Bulk(None), Answer::Line("x".into())];
+        assert_eq!(answer(&mut input).unwrap(), Answer::Array(array.into()));
+        assert_eq!(answer(&mut input).unwrap(), Answer::Error("BUSY 7".into()));
+        assert!(
+            answer(&mut b"$99999999\r\n".as_slice()).is_err() && answer(&mut b"?\r\n".as_slice()).is_err()
+        );
+    }
+}
--- /dev/null
+++ b/crates/trials/src/switch.rs
@@ -0,0 +1,256 @@
+//! Datagrams between members: each member has an address at the switch, by which the others know it; what comes there is
+//! passed on to the member's own address, from the address at the switch of whoever sent it. So the program needs no code
+//! for trials: it binds to one address and advertises another, as behind any translation of addresses.
+
+use crate::faults::Link;
+use rand::{RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use std::collections::BinaryHeap;
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+/// How often a thread that waits for datagrams looks whether it is to end.
+const LOOK: Duration = Duration::from_millis(50);
+/// Datagrams that are held for their delay, at most; beyond that they are lost.
+const HELD_MAX: usize = 100_000;
+/// A datagram that is held back comes this much later.
+const BEHIND: Duration = Duration::from_millis(20);
+
+struct Held {
+    at: Instant,
+    number: u64,
+    from: usize,
+    to: usize,
+    bytes: Vec<u8>,
+}
+
+impl PartialEq for Held {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.number) == (other.at, other.number)
+    }
+}
+
+impl Eq for Held {}
+
+impl PartialOrd for Held {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+/// The earliest is the greatest: a heap hands that out first.
+impl Ord for Held {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (other.at, other.number).cmp(&(self.at, self.number))
+    }
+}
+
+#[derive(Default)]
+struct Queue {
+    held: BinaryHeap<Held>,
+    number: u64,
+}
+
+struct Shared {
+    /// Each member's address at the switch, and its own.
+    sockets: Vec<UdpSocket>,
+    own: Vec<SocketAddr>,
+    /// `links[from][to]`.
+    links: Vec<Vec<Link>>,
+    queue: Mutex<Queue>,
+    wake: Condvar,
+    end: AtomicBool,
+    passed: AtomicU64,
+    lost: AtomicU64,
+}
+
+/// The switch; it ends with this.
+pub struct Switch {
+    shared: Arc<Shared>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Switch {
+    /// A switch for members that are known to the others by `advertised` and bound to `own`.
+    pub fn start(advertised: &[SocketAddr], own: &[SocketAddr], seed: u64) -> io::Result<Self> {
+        let sockets = advertised
+            .iter()
+            .map(|address| {
+                let socket = UdpSocket::bind(address)?;
+                socket.set_read_timeout(Some(LOOK))?;
+                Ok(socket)
+            })
+            .collect::<io::Result<Vec<_>>>()?;
+        let n = sockets.len();
+        let shared = Arc::new(Shared {
+            sockets,
+            own: own.to_vec(),
+            links: (0..n).map(|_| (0..n).map(|_| Link::default()).collect()).collect(),
+            queue: Mutex::default(),
+            wake: Condvar::new(),
+            end: AtomicBool::new(false),
+            passed: AtomicU64::new(0),
+            lost: AtomicU64::new(0),
+        });
+        let mut threads = Vec::new();
+        for to in 0..n {
+            let shared = Arc::clone(&shared);
+            let rng = Xoshiro256PlusPlus::seed_from_u64(seed.wrapping_add(to as u64));
+            threads.push(std::thread::spawn(move || shared.take(to, rng)));
+        }
+        let later = Arc::clone(&shared);
+        threads.push(std::thread::spawn(move || later.pass_held()));
+        Ok(Switch { shared, threads })
+    }
+
+    /// The link from one member to another.
+    pub fn link(&self, from: usize, to: usize) -> &Link {
+        &self.shared.links[from][to]
+    }
+
+    /// Datagrams passed on, and lost by faults.
+    pub fn counts(&self) -> (u64, u64) {
+        (self.shared.passed.load(Ordering::Relaxed), self.shared.lost.load(Ordering::Relaxed))
+    }
+}
+
+impl Shared {
+    fn take(&self, to: usize, mut rng: Xoshiro256PlusPlus) {
+        let mut bytes = [0; 2_048];
+        while !self.end.load(Ordering::Relaxed) {
+            let Ok((length, source)) = self.sockets[to].recv_from(&mut bytes) else { continue };
+            // Nobody else has business here.
+            let Some(from) = self.own.iter().position(|own| *own == source) else { continue };
+            let faults = self.links[from][to].get();
+            if faults.cut || rng.random_bool(faults.drop) {
+                self.lost.fetch_add(1, Ordering::Relaxed);
+                continue;
+            }
+            let copies = 1 + usize::from(rng.random_bool(faults.duplicate));
+            for _ in 0..copies {
+                let jitter = rng.random_range(0..=faults.jitter_ms);
+                let mut wait = Duration::from_millis(faults.delay_ms + jitter);
+                if rng.random_bool(faults.reorder) {
+                    wait += BEHIND;
+                }
+                if wait.is_zero() {
+                    self.pass(from, to, &bytes[..length]);
+                } else {
+                    self.hold(Instant::now() + wait, from, to, &bytes[..length]);
+                }
+            }
+        }
+    }
+
+    fn pass(&self, from: usize, to: usize, bytes: &[u8]) {
+        self.passed.fetch_add(1, Ordering::Relaxed);
+        // A member that is not there loses it, as anywhere.
+        let _ = self.sockets[from].send_to(bytes, self.own[to]);
+    }
+
+    fn hold(&self, at: Instant, from: usize, to: usize, bytes: &[u8]) {
+        let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
+        if queue.held.len() < HELD_MAX {
+            queue.number += 1;
+            let number = queue.number;
+            queue.held.push(Held { at, number, from, to, bytes: bytes.to_vec() });
+            self.wake.notify_one();
+        }
+    }
+
+    fn pass_held(&self) {
+        let mut queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
+        while !self.end.load(Ordering::Relaxed) {
+            let now = Instant::now();
+            let wait = match queue.held.peek() {
+                Some(held) if held.at <= now => {
+                    if let Some(held) = queue.held.pop() {
+                        drop(queue);
+                        // What was cut meanwhile is lost on its way.
+                        if !self.links[held.from][held.to].get().cut {
+                            self.pass(held.from, held.to, &held.bytes);
+                        }
+                        queue = self.queue.lock().unwrap_or_else(PoisonError::into_inner);
+                    }
+                    continue;
+                }
+                Some(held) => held.at - now,
+                None => LOOK,
+            };
+            queue = self.wake.wait_timeout(queue, wait.min(LOOK)).unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+}
+
+impl Drop for Switch {
+    fn drop(&mut self) {
+        self.shared.end.store(true, Ordering::Relaxed);
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::faults::Faults;
+
+    fn pair() -> (Vec<UdpSocket>, Vec<SocketAddr>, Switch) {
+        let own: Vec<UdpSocket> = (0..2).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
+        for socket in &own {
+            socket.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        }
+        let free = || UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let advertised = vec![free(), free()];
+        let addresses: Vec<SocketAddr> = own.iter().map(|s| s.local_addr().unwrap()).collect();
+        let switch = Switch::start(&advertised, &addresses, 1).unwrap();
+        (own, advertised, switch)
+    }
+
+    #[test]
+    fn a_datagram_comes_from_the_address_at_the_switch_and_faults_hold_for_one_direction() {
+        let (own, advertised, switch) = pair();
+        let mut bytes = [0; 64];
+        own[0].send_to(b"one", advertised[1]).unwrap();
+        let (length, from) = own[1].recv_from(&mut bytes).unwrap();
+        assert_eq!((&bytes[..length], from), (b"one".as_slice(), advertised[0]));
+        switch.link(0, 1).set(Faults { cut: true, ..Faults::default() });
+        own[0].send_to(b"lost", advertised[1]).unwrap();
+        own[1].send_to(b"back", advertised[0]).unwrap();
+        assert_eq!(own[0].recv_from(&mut bytes).unwrap().0, 4, "the other direction is open");
+        while switch.counts().1 == 0 {
+            std::thread::yield_now();
+        }
+        switch.link(0, 1).set(Faults { duplicate: 1.0, delay_ms: 5, ..Faults::default() });
+        own[0].send_to(b"two", advertised[1]).unwrap();
+        for _ in 0..2 {
+            let (length, _) = own[1].recv_from(&mut bytes).unwrap();
+            assert_eq!(&bytes[..length], b"two");
+        }
+    }
+
+    #[test]
+    fn who_is_held_back_comes_behind() {
+        let (own, advertised, switch) = pair();
+        switch.link(0, 1).set(Faults { reorder: 1.0, ..Faults::default() });
+        own[0].send_to(b"first", advertised[1]).unwrap();
+        while switch.shared.queue.lock().unwrap().held.is_empty() {
+            std::thread::yield_now();
+        }
+        switch.link(0, 1).set(Faults::default());
+        own[0].send_to(b"second", advertised[1]).unwrap();
+        let mut bytes = [0; 64];
+        let mut order = Vec::new();
+        for _ in 0..2 {
+            let (length, _) = own[1].recv_from(&mut bytes).unwrap();
+            order.push(bytes[..length].to_vec());
+        }
+        order.sort();
+        assert_eq!(order, [b"first".to_vec(), b"second".to_vec()], "both come, in whatever order");
+    }
+}
--- /dev/null
+++ b/crates/trials/src/virtual_time.rs
@@ -0,0 +1,340 @@
+//! Members of the `fleet` crate side by side in virtual time: the same seed plays the same course on every machine.
+
+use pipitrun_fleet::{Change, FleetSettings, MS, Member, Nanos, Phase, Soft, State, Timing, Traffic, View};
+use rand::{RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// What the network does to each datagram.
+#[derive(Clone, Copy, Debug)]
+pub struct Network {
+    /// The share that is lost.
+    pub loss: f64,
+    /// The delay of each, and what is added at random.
+    pub delay: Nanos,
+    /// See `delay`; more than the spacing of datagrams reorders them.
+    pub jitter: Nanos,
+    /// The share that comes twice.
+    pub twice: f64,
+}
+
+impl Default for Network {
+    fn default() -> Self {
+        Network { loss: 0.0, delay: MS / 2, jitter: MS / 2, twice: 0.0 }
+    }
+}
+
+struct Place {
+    member: Option<Member>,
+    /// Stands still until then.
+    stalled: Nanos,
+    /// Datagrams that wait while it stands still; the oldest ones beyond the bound are lost.
+    inbox: Vec<(SocketAddr, Vec<u8>)>,
+    traffic: Traffic,
+    sent_max: u64,
+    false_deaths: u64,
+}
+
+enum What {
+    Turn(usize),
+    Datagram(usize, SocketAddr, Vec<u8>),
+}
+
+/// A fleet in virtual time.
+pub struct Fleet {
+    places: Vec<Place>,
+    queue: BTreeMap<(Nanos, u64), What>,
+    set: u64,
+    rng: Xoshiro256PlusPlus,
+    /// What happens to datagrams.
+    pub network: Network,
+    /// Whether the way from one to another is cut.
+    cut: Vec<Vec<bool>>,
+    /// The time.
+    pub now: Nanos,
+    timing: Timing,
+    joins: usize,
+    members_max: usize,
+}
+
+/// Datagrams that wait at a member that stands still, at most.
+const INBOX: usize = 1_000;
+/// What the members' clock shows at the beginning.
+const EPOCH_MS: u64 = 1_700_000_000_000;
+
+/// The address of the n-th member.
+pub fn address(n: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (n / 250) as u8, (n % 250) as u8 + 1], 7_946))
+}
+
+impl Fleet {
+    /// `n` places, all empty, by this seed; each member asks the first `joins` places.
+    pub fn new(n: usize, joins: usize, seed: u64) -> Self {
+        let empty = || Place {
+            member: None,
+            stalled: 0,
+            inbox: Vec::new(),
+            traffic: Traffic::default(),
+            sent_max: 0,
+            false_deaths: 0,
+        };
+        Fleet {
+            places: (0..n).map(|_| empty()).collect(),
+            queue: BTreeMap::new(),
+            set: 0,
+            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+            network: Network::default(),
+            cut: vec![vec![false; n]; n],
+            now: 0,
+            timing: Timing::default(),
+            joins,
+            members_max: 2_048,
+        }
+    }
+
+    /// Bounds the members that each holds; for those that start from now on.
+    pub fn set_members_max(&mut self, members_max: usize) {
+        self.members_max = members_max;
+    }
+
+    /// How many places there are.
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+
+    /// Starts a member at a place, on a clock that shows this much more or less than the others'.
+    pub fn start(&mut self, n: usize, clock_ms: i64) {
+        let settings = FleetSettings {
+            fleet: "trial".into(),
+            name: format!("n{n}"),
+            address: address(n),
+            join: (0..self.joins.min(self.places.len())).map(address).collect(),
+            members_max: self.members_max,
+            configured: 10,
+            timing: self.timing,
+        };
+        let soft = Soft {
+            name: format!("n{n}"),
+            door: address(n),
+            phase: Phase::Serving,
+            build: "0.1.0".into(),
+            config: 7,
+            traffic: 0,
+            places: 1,
+            extra: Vec::new(),
+        };
+        let unix = (EPOCH_MS + self.now / MS).saturating_add_signed(clock_ms);
+        let member = Member::new(settings, soft, unix, self.rng.random(), self.now);
+        let place = &mut self.places[n];
+        (place.member, place.stalled) = (Some(member), 0);
+        place.inbox.clear();
+        self.push(self.now, What::Turn(n));
+    }
+
+    /// Starts all at once.
+    pub fn start_all(&mut self) {
+        (0..self.places.len()).for_each(|n| self.start(n, 0));
+    }
+
+    /// Ends a member without a word.
+    pub fn kill(&mut self, n: usize) {
+        self.places[n].member = None;
+    }
+
+    /// A member goes and says so.
+    pub fn leave(&mut self, n: usize) {
+        if let Some(mut member) = self.places[n].member.take() {
+            member.leave(self.now);
+            self.send(n, member.take_outputs());
+        }
+    }
+
+    /// A member stands still for so long.
+    pub fn stall(&mut self, n: usize, span: Nanos) {
+        self.places[n].stalled = self.now + span;
+    }
+
+    /// Cuts the way from one to another, or opens it.
+    pub fn cut(&mut self, from: usize, to: usize, cut: bool) {
+        self.cut[from][to] = cut;
+    }
+
+    /// Cuts all ways between the members of two sets, told by a side for each, or opens them.
+    pub fn split(&mut self, side: impl Fn(usize) -> usize, cut: bool) {
+        for from in 0..self.places.len() {
+            for to in 0..self.places.len() {
+                if side(from) != side(to) {
+                    self.cut[from][to] = cut;
+                }
+            }
+        }
+    }
+
+    /// A member, if one runs at this place.
+    pub fn member(&self, n: usize) -> Option<&Member> {
+        self.places[n].member.as_ref()
+    }
+
+    /// Those that run.
+    pub fn running(&self) -> Vec<usize> {
+        (0..self.places.len()).filter(|n| self.places[*n].member.is_some()).collect()
+    }
+
+    /// What a member sees; it must run.
+    pub fn view(&self, n: usize) -> View {
+        self.places[n].member.as_ref().map(Member::view).unwrap_or_default()
+    }
+
+    /// How often anybody took a member for dead that ran and could be reached by it.
+    pub fn false_deaths(&self) -> u64 {
+        self.places.iter().map(|p| p.false_deaths).sum()
+    }
+
+    /// The sum of all counts of datagrams, of those that run.
+    pub fn traffic(&self, n: usize) -> Traffic {
+        self.places[n].member.as_ref().map(Member::traffic).unwrap_or(self.places[n].traffic)
+    }
+
+    fn push(&mut self, at: Nanos, what: What) {
+        self.set += 1;
+        self.queue.insert((at, self.set), what);
+    }
+
+    fn send(&mut self, from: usize, outputs: Vec<(SocketAddr, Vec<u8>)>) {
+        for (to, datagram) in outputs {
+            let Some(to) = (0..self.places.len()).find(|n| address(*n) == to) else { continue };
+            self.pass(from, to, datagram);
+        }
+    }
+
+    /// Hands a datagram to the network.
+    fn pass(&mut self, from: usize, to: usize, datagram: Vec<u8>) {
+        let network = self.network;
+        if self.cut[from][to] || self.rng.random_bool(network.loss) {
+            return;
+        }
+        let copies = 1 + usize::from(self.rng.random_bool(network.twice));
+        for _ in 0..copies {
+            let jitter = self.rng.random_range(0..=network.jitter);
+            let at = self.now + network.delay + jitter;
+            self.push(at, What::Datagram(to, address(from), datagram.clone()));
+        }
+    }
+
+    /// A datagram from nowhere, as it is.
+    pub fn inject(&mut self, to: usize, from: SocketAddr, datagram: &[u8]) {
+        if let Some(member) = &mut self.places[to].member {
+            member.datagram(self.now, from, datagram);
+        }
+    }
+
+    /// Plays on until then.
+    pub fn play(&mut self, until: Nanos) {
+        while let Some(entry) = self.queue.first_entry().filter(|entry| entry.key().0 <= until) {
+            let ((at, _), what) = entry.remove_entry();
+            self.now = self.now.max(at);
+            match what {
+                What::Turn(n) => self.turn(n),
+                What::Datagram(n, from, datagram) => self.arrive(n, from, datagram),
+            }
+        }
+        self.now = until;
+    }
+
+    fn turn(&mut self, n: usize) {
+        let now = self.now;
+        let place = &mut self.places[n];
+        let Some(member) = &mut place.member else { return };
+        if place.stalled > now {
+            let at = place.stalled;
+            return self.push(at, What::Turn(n));
+        }
+        for (from, datagram) in std::mem::take(&mut place.inbox) {
+            member.datagram(now, from, &datagram);
+        }
+        if member.due() <= now {
+            member.turn(now);
+            let due = member.due();
+            self.push(due, What::Turn(n));
+        }
+        self.after(n);
+    }
+
+    fn arrive(&mut self, n: usize, from: SocketAddr, datagram: Vec<u8>) {
+        let now = self.now;
+        let place = &mut self.places[n];
+        let Some(member) = &mut place.member else { return };
+        if place.stalled > now {
+            if place.inbox.len() < INBOX {
+                place.inbox.push((from, datagram));
+            }
+            return;
+        }
+        member.datagram(now, from, &datagram);
+        self.after(n);
+    }
+
+    fn after(&mut self, n: usize) {
+        let Some(member) = &mut self.places[n].member else { return };
+        let outputs = member.take_outputs();
+        let changes = member.take_changes();
+        let sent = outputs.len() as u64;
+        self.places[n].sent_max = self.places[n].sent_max.max(sent);
+        for change in changes {
+            if let Change::Became { id, is: State::Dead, .. } = change
+                && let Some(other) = (0..self.places.len()).find(|m| address(*m) == id.address)
+                && self.places[other].member.as_ref().is_some_and(|m| m.id() == id)
+                && self.places[other].stalled <= self.now
+                && !self.cut[other][n]
+                && !self.cut[n][other]
+            {
+                self.places[n].false_deaths += 1;
+            }
+        }
+        self.send(n, outputs);
+    }
+
+    /// Whether all that run see what is true: each other as serving, by the life they live, and nobody else as there.
+    pub fn settled(&self) -> bool {
+        self.settled_by(|_| 0)
+    }
+
+    /// The same where members of different sides don't reach each other.
+    pub fn settled_by(&self, side: impl Fn(usize) -> usize) -> bool {
+        let running = self.running();
+        running.iter().all(|n| {
+            let view = self.view(*n);
+            let there = view.members.iter().filter(|seen| seen.state.is_there()).count();
+            let with_it: Vec<usize> =
+                running.iter().copied().filter(|m| m != n && side(*m) == side(*n)).collect();
+            there == with_it.len()
+                && with_it.iter().all(|m| {
+                    let id = self.places[*m].member.as_ref().map(Member::id);
+                    view.members.iter().any(|s| {
+                        // Where datagrams get lost a suspicion that is refuted at once is no error.
+                        let serves = s.soft.as_ref().is_some_and(|soft| soft.phase == Phase::Serving);
+                        Some(s.id) == id && (s.state == State::Serving || s.state == State::Stalled && serves)
+                    })
+                })
+        })
+    }
+
+    /// Plays until this holds, at most for so long; how long it took.
+    pub fn until(&mut self, most: Nanos, holds: impl Fn(&Fleet) -> bool) -> Option<Nanos> {
+        let begun = self.now;
+        while self.now - begun <= most {
+            if holds(self) {
+                return Some(self.now - begun);
+            }
+            let next = self.now + 20 * MS;
+            self.play(next);
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/trials/tests/processes.rs
@@ -0,0 +1,117 @@
+//! Several processes of the program, with faults between them. What holds is judged by invariants and by waiting for
+//! conditions up to wide ceilings; how fast they come to hold is measured elsewhere.
+
+use pipitrun_trials::ground::{Ground, Plan};
+use pipitrun_trials::play::{Report, play};
+use pipitrun_trials::scenarios;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+/// One trial at a time: they are many processes each, and CI has few cores.
+static ONE: Mutex<()> = Mutex::new(());
+
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn trial(name: &str) -> Report {
+    let _one = ONE.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let scenario = scenarios::find(name).unwrap();
+    let plan = Plan { instances: 6, rate: 20.0, ..Plan::default() };
+    let report = play(&scenario, plan, &AtomicBool::new(false)).unwrap();
+    assert_eq!(report.failed, 0, "{}\n{:#?}", report.verdict(), report.failures);
+    assert!(report.requests.get("served").is_some_and(|served| *served > 0), "{:?}", report.requests);
+    report
+}
+
+#[test]
+fn all_that_start_at_once_see_each_other() {
+    trial("join");
+}
+
+#[test]
+fn deaths_are_known_to_all_and_the_dead_come_back_under_their_names() {
+    let report = trial("kill-quarter");
+    assert!(report.settled.contains_key("death known") && report.settled.contains_key("back"));
+}
+
+#[test]
+fn who_stood_still_accuses_nobody_and_is_taken_back() {
+    assert!(trial("stall").settled.contains_key("back"));
+}
+
+#[test]
+fn a_split_is_no_mass_death_and_heals_by_itself() {
+    let report = trial("split");
+    assert!(report.settled.contains_key("healed") && report.shares_most <= 1.5);
+}
+
+#[test]
+fn ways_that_are_cut_in_one_direction_make_nobody_dead() {
+    assert_eq!(trial("one-way").false_deaths, 0);
+}
+
+#[test]
+fn restarts_in_a_row_are_told_and_not_detected() {
+    let report = trial("rolling");
+    assert_eq!(report.false_deaths, 0);
+}
+
+/// Without the key nothing differs: no socket, no descriptor more than that one, no path at the operators' door.
+#[test]
+fn without_the_key_there_is_no_socket_and_no_path() {
+    let _one = ONE.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let descriptors = |fleet: bool| {
+        let plan = Plan { instances: 1, caches: 1, fleet, ..Plan::default() };
+        let mut ground = Ground::lay_out(plan).unwrap();
+        ground.start_all().unwrap();
+        let ready = |g: &Ground| g.members[0].call("/admin/health").is_some();
+        ground.wait(PATIENCE, ready).expect("it becomes ready");
+        let member = &ground.members[0];
+        assert_eq!(member.call("/admin/fleet").is_some(), fleet);
+        let log = member.log();
+        assert_eq!(log.iter().any(|line| line.text.contains("fleet")), fleet, "{log:?}");
+        // The calls above are over when the process has let go of them.
+        let mut least = usize::MAX;
+        ground.wait(Duration::from_millis(500), |g| {
+            least = least.min(g.members[0].descriptors().unwrap_or(usize::MAX));
+            false
+        });
+        least
+    };
+    let (without, with) = (descriptors(false), descriptors(true));
+    assert_eq!(with, without + 1, "the one socket of the talk");
+}
+
+/// All that a member is told to ask is dead: it serves alone, divides by the settings' figure, and meets whoever comes.
+#[test]
+fn with_all_join_addresses_dead_it_serves_alone_and_is_found_later() {
+    let _one = ONE.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let mut ground = Ground::lay_out(Plan { instances: 4, joins: 1, ..Plan::default() }).unwrap();
+    ground.members[2].start().unwrap();
+    ground.members[3].start().unwrap();
+    let alone = |g: &Ground, i: usize| g.members[i].view().is_some_and(|v| v.living == 1 && v.shared_by == 4);
+    let served = |g: &Ground, i: usize| g.members[i].call("/admin/health").is_some();
+    let both = |g: &Ground| [2, 3].iter().all(|i| alone(g, *i) && served(g, *i));
+    ground.wait(PATIENCE, both).expect("each serves alone");
+    ground.members[0].start().unwrap();
+    let met = |g: &Ground| [0, 2, 3].iter().all(|i| g.members[*i].view().is_some_and(|v| v.living == 3));
+    ground.wait(PATIENCE, met).expect("the one that was asked in vain brings them together");
+}
+
+/// Two processes under one name at two addresses are two members; it is said once and both count.
+#[test]
+fn two_of_one_name_both_count_and_are_named() {
+    let _one = ONE.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let mut ground = Ground::lay_out(Plan { instances: 3, ..Plan::default() }).unwrap();
+    // Its configuration file bears its name: the later start must not write over it while it is read.
+    ground.members[2].spec.name = "n1".into();
+    ground.members[0].start().unwrap();
+    ground.members[1].start().unwrap();
+    let two = |g: &Ground| g.members[0].view().is_some_and(|v| v.living == 2);
+    ground.wait(PATIENCE, two).expect("the first two meet");
+    ground.members[2].start().unwrap();
+    let three = |g: &Ground| g.members[0].view().is_some_and(|v| v.living == 3);
+    ground.wait(PATIENCE, three).expect("both count");
+    let named = |g: &Ground| g.members[0].log().iter().any(|l| l.text.contains("are both called n1"));
+    ground.wait(PATIENCE, named).expect("it is said");
+}
--- /dev/null
+++ b/crates/trials/tests/virtual_time.rs
@@ -0,0 +1,160 @@
+//! The fleet crate alone, in virtual time: the same seed plays the same course everywhere.
+
+use pipitrun_fleet::{MS, State};
+use pipitrun_trials::virtual_time::{Fleet, Network, address};
+use rand::{RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+
+const S: u64 = 1_000 * MS;
+const LOSSY: Network = Network { loss: 0.2, delay: 50 * MS, jitter: 10 * MS, twice: 0.02 };
+
+fn settled(n: usize, seed: u64, network: Network) -> Fleet {
+    let mut fleet = Fleet::new(n, 3, seed);
+    fleet.network = network;
+    fleet.start_all();
+    fleet.until(60 * S, Fleet::settled).expect("all meet");
+    fleet
+}
+
+#[test]
+fn with_a_fifth_lost_nobody_is_given_up_in_ten_minutes() {
+    let mut fleet = settled(12, 1, LOSSY);
+    fleet.play(fleet.now + 600 * S);
+    assert_eq!(fleet.false_deaths(), 0);
+    assert!(fleet.traffic(0).suspicions > 0, "there was something to refute");
+    fleet.until(10 * S, Fleet::settled).expect("and all still see each other");
+}
+
+#[test]
+fn a_death_is_known_to_all_in_time_and_so_is_a_return() {
+    for seed in 0..5 {
+        let mut fleet = settled(40, seed, Network::default());
+        (30..40).for_each(|n| fleet.kill(n));
+        let known = fleet.until(60 * S, Fleet::settled).expect("the death is known");
+        assert!(known <= 3 * S, "seed {seed}: {known}");
+        (30..40).for_each(|n| fleet.start(n, 0));
+        let back = fleet.until(60 * S, Fleet::settled).expect("they are back");
+        assert!(back <= 3 * S, "seed {seed}: {back}");
+    }
+}
+
+#[test]
+fn a_split_settles_on_both_sides_and_heals_and_shares_keep_their_sum() {
+    for seed in 0..5 {
+        let mut fleet = settled(12, seed, Network::default());
+        let side = |n: usize| usize::from(n >= 5);
+        fleet.split(side, true);
+        let sum = |fleet: &Fleet| -> f64 {
+            fleet.running().iter().map(|n| 1.0 / fleet.view(*n).count as f64).sum()
+        };
+        fleet.until(60 * S, |f| f.settled_by(side)).expect("each side knows");
+        for _ in 0..40 {
+            fleet.play(fleet.now + S);
+            assert!(sum(&fleet) <= 1.5, "seed {seed}: {}", sum(&fleet));
+        }
+        fleet.split(side, false);
+        let healed = fleet.until(60 * S, Fleet::settled).expect("they find each other");
+        assert!(healed <= 3 * S, "seed {seed}: {healed}");
+        assert!((sum(&fleet) - 1.0).abs() < 1e-9);
+    }
+}
+
+#[test]
+fn who_is_cut_off_from_all_accuses_nobody_and_who_cannot_hear_is_taken_back() {
+    let mut fleet = settled(8, 3, Network::default());
+    // It is heard by all and hears nobody.
+    (1..8).for_each(|n| fleet.cut(n, 0, true));
+    fleet.play(fleet.now + 8 * S);
+    assert!(fleet.view(0).cut_off);
+    assert!(fleet.view(0).members.iter().all(|m| m.state.is_there()), "it blames itself");
+    assert_eq!(fleet.false_deaths(), 0, "and nobody else is given up for its sake");
+    (1..8).for_each(|n| fleet.cut(n, 0, false));
+    fleet.until(10 * S, Fleet::settled).expect("taken back");
+}
+
+#[test]
+fn a_stall_is_seen_and_accuses_nobody() {
+    for seed in 0..5 {
+        let mut fleet = settled(12, seed, Network::default());
+        fleet.stall(4, 10 * S);
+        fleet.play(fleet.now + 10 * S);
+        assert!(
+            !fleet.view(0).members.iter().any(|m| m.id.address == address(4) && m.state == State::Serving)
+        );
+        fleet.until(10 * S, Fleet::settled).expect("taken back");
+        fleet.play(fleet.now + 5 * S);
+        assert!(fleet.settled() && fleet.false_deaths() == 0 && fleet.traffic(4).gaps > 0);
+    }
+}
+
+#[test]
+fn a_restart_is_not_taken_for_the_older_self_though_the_clock_was_set_back() {
+    let mut fleet = settled(6, 1, Network::default());
+    for clock in [-3_600_000, 0, 5_000] {
+        let before = fleet.member(2).unwrap().id().generation;
+        fleet.kill(2);
+        // At once, and after its death is known.
+        fleet.start(2, clock);
+        fleet.until(20 * S, Fleet::settled).unwrap_or_else(|| panic!("clock {clock}"));
+        assert!(fleet.member(2).unwrap().id().generation > before, "clock {clock}");
+        fleet.kill(2);
+        fleet.play(fleet.now + 6 * S);
+        fleet.start(2, clock);
+        fleet.until(20 * S, Fleet::settled).unwrap_or_else(|| panic!("late, clock {clock}"));
+    }
+}
+
+#[test]
+fn a_leave_is_told_and_gives_its_place_up_at_once() {
+    let mut fleet = settled(10, 1, Network::default());
+    fleet.leave(9);
+    fleet.until(S, Fleet::settled).expect("told, not detected");
+    fleet.play(fleet.now + S);
+    for n in 0..9 {
+        let view = fleet.view(n);
+        assert_eq!(view.count, 9);
+        assert!(view.members.iter().any(|m| m.id.address == address(9) && m.state == State::Left));
+    }
+}
+
+#[test]
+fn more_members_than_are_held_are_turned_away_and_bounded() {
+    let mut fleet = Fleet::new(60, 3, 1);
+    fleet.set_members_max(10);
+    fleet.start_all();
+    fleet.play(20 * S);
+    for n in 0..60 {
+        // What one datagram brings beyond the bound is the most that comes in over it.
+        assert!(fleet.view(n).members.len() <= 10 + 64, "{}", fleet.view(n).members.len());
+    }
+}
+
+#[test]
+fn torn_random_foreign_and_replayed_datagrams_are_counted_and_change_nothing() {
+    let mut fleet = settled(6, 1, Network::default());
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(1);
+    let (before, seen) = (fleet.traffic(0), fleet.view(0).members.len());
+    let rounds = std::env::var("PIPITRUN_DATAGRAMS").ok().and_then(|n| n.parse().ok()).unwrap_or(20_000);
+    let fleets = [pipitrun_fleet::envelope::fleet_number("trial"), 7];
+    let kinds = {
+        use pipitrun_fleet::envelope::Kind::*;
+        [Swim, Records, Want, Ask, Beat]
+    };
+    for round in 0..rounds {
+        let length = rng.random_range(0..1_500);
+        let mut bytes: Vec<u8> = (0..length).map(|_| rng.random()).collect();
+        if round % 2 == 0 {
+            // A whole frame with anything in it.
+            bytes.truncate(pipitrun_fleet::envelope::PAYLOAD_MAX);
+            bytes = pipitrun_fleet::envelope::seal(fleets[round / 2 % 2], kinds[round / 4 % 5], &bytes);
+        }
+        fleet.inject(0, address(9), &bytes);
+        if round % 500 == 0 {
+            fleet.play(fleet.now + 10 * MS);
+        }
+    }
+    let after = fleet.traffic(0);
+    assert!(after.torn > before.torn && after.foreign > before.foreign && after.malformed > before.malformed);
+    fleet.until(20 * S, Fleet::settled).expect("all see each other as before");
+    assert_eq!(fleet.view(0).members.len(), seen, "nobody was made up");
+}
