Bound what members are held and told: a hard bound, no rumours of traffic; trials in virtual time, a mutation check

At members_max 10 of 60 a member held up to 16: news of others came in by datagrams of known members, by addresses let go of since the last look, and by one that was put in another's stead; ruled out one by one, each with a probe; now 11 at most, the sender at the bound.

Ten mistakes can be planted (cargo feature planted, off everywhere else).

--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -37,7 +37,8 @@
     /// A turn of the member's own clock, before anything else is done in it. True after a gap: what was timed across
     /// it counts for nothing.
     pub fn turn(&mut self, now: Nanos) -> bool {
-        let stood = self.due.is_some_and(|due| now > due.saturating_add(GAP));
+        let late = self.due.is_some_and(|due| now > due.saturating_add(GAP));
+        let stood = late && !planted::is(Fault::TrustsItselfAfterAStall);
         if stood {
             self.gaps += 1;
             self.doubt(now);
@@ -48,7 +49,7 @@
             self.doubt -= 1;
             self.doubted = now;
         }
-        stood && !planted::is(Fault::TrustsItselfAfterAStall)
+        stood
     }
 
     /// When the next turn is due.
--- a/crates/fleet/src/identity.rs
+++ b/crates/fleet/src/identity.rs
@@ -1,7 +1,9 @@
 //! Who a member is, and how its older selves are told from it.
 
+use crate::planted::{self, Fault};
 use serde::{Deserialize, Serialize};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -26,7 +28,7 @@
     }
 
     fn win_addr_conflict(&self, adversary: &Self) -> bool {
-        if crate::planted::is(crate::planted::Fault::BelievesOldGeneration) {
+        if planted::is(Fault::BelievesOldGeneration) {
             return self.generation < adversary.generation;
         }
         self.generation > adversary.generation
@@ -44,16 +46,50 @@
     }
 }
 
+/// The addresses that the membership holds. What a datagram says of others is left once there are enough of them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Held(Rc<RefCell<BTreeSet<SocketAddr>>>);
+
+impl Held {
+    pub(crate) fn set(&self, addresses: impl Iterator<Item = SocketAddr>) {
+        let mut held = self.0.borrow_mut();
+        held.clear();
+        held.extend(addresses);
+    }
+
+    pub(crate) fn insert(&self, address: SocketAddr) {
+        self.0.borrow_mut().insert(address);
+    }
+
+    pub(crate) fn remove(&self, address: SocketAddr) {
+        self.0.borrow_mut().remove(&address);
+    }
+
+    /// A place for this address, if there is one.
+    fn admit(&self, address: SocketAddr, most: usize) -> Result<(), ()> {
+        let mut held = self.0.borrow_mut();
+        if held.contains(&address) || held.len() < most {
+            held.insert(address);
+            return Ok(());
+        }
+        Err(())
+    }
+}
+
 /// `postcard`, which also notes what is said of the own address.
 pub(crate) struct Wire {
     own: SocketAddr,
     named: Named,
+    held: Held,
+    members_max: usize,
+    /// Who sent the datagram that is read.
+    from: Option<SocketAddr>,
     inner: foca::PostcardCodec,
 }
 
 impl Wire {
-    pub(crate) fn new(own: SocketAddr, named: Named) -> Self {
-        Wire { own, named, inner: foca::PostcardCodec }
+    pub(crate) fn new(own: SocketAddr, named: Named, held: Held, members_max: usize) -> Self {
+        Wire { own, named, held, members_max, from: None, inner: foca::PostcardCodec }
     }
 
     fn note(&self, id: &Identity) {
@@ -77,6 +113,7 @@
     fn decode_header(&mut self, buf: impl bytes::Buf) -> Result<foca::Header<Identity>, Self::Error> {
         let header: foca::Header<Identity> = self.inner.decode_header(buf)?;
         self.note(&header.dst);
+        self.from = Some(header.src.address);
         Ok(header)
     }
 
@@ -90,7 +127,21 @@
 
     fn decode_member(&mut self, buf: impl bytes::Buf) -> Result<foca::Member<Identity>, Self::Error> {
         let member: foca::Member<Identity> = self.inner.decode_member(buf)?;
-        self.note(member.id());
-        Ok(member)
+        let id = *member.id();
+        self.note(&id);
+        if id.address == self.own {
+            if member.state() == foca::State::Suspect && planted::is(Fault::ForgetsRefutation) {
+                return Ok(foca::Member::alive(id));
+            }
+            return Ok(member);
+        }
+        match self.held.admit(id.address, self.members_max) {
+            Ok(()) => Ok(member),
+            // An older life of the sender, which counts as there by its datagram, says nothing; the other news counts.
+            Err(()) => {
+                let address = self.from.unwrap_or(id.address);
+                Ok(foca::Member::alive(Identity { address, generation: 0 }))
+            }
+        }
     }
 }
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -5,12 +5,12 @@
 use crate::count::Count;
 use crate::envelope::{self, Kind, Refusal};
 use crate::health::Health;
-use crate::identity::{Named, Wire};
+use crate::identity::{Held, Named, Wire};
 use crate::planted::{self, Fault};
 use crate::records::{BUILD_MAX, EXTRA_MAX, NAME_MAX, Phase, Record, Records, Soft, cut};
 use crate::suspicion::{self, Suspicions};
 use crate::watch::{self, Watch};
-use crate::{Change, FleetSettings, Identity, MS, Nanos, State, View};
+use crate::{Change, FleetSettings, Identity, MS, Nanos, Seen, State, View};
 use foca::{Foca, NoCustomBroadcast, OwnedNotification, PeriodicParams, Timer};
 use rand::{RngExt, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -117,6 +117,7 @@
     fleet: u64,
     swim: Swim,
     named: Named,
+    held: Held,
     /// What `foca` wants to be woken for; at most a handful, and one for each dead member.
     timers: BTreeMap<(Nanos, u64), Timer<Identity>>,
     set: u64,
@@ -172,8 +173,8 @@
     pub fn new(settings: FleetSettings, soft: Soft, unix_ms: u64, seed: u64, now: Nanos) -> Self {
         let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
         let id = Identity { address: settings.address, generation: unix_ms };
-        let named = Named::default();
-        let wire = Wire::new(settings.address, named.clone());
+        let (named, held) = (Named::default(), Held::default());
+        let wire = Wire::new(settings.address, named.clone(), held.clone(), settings.members_max);
         let swim_rng = Xoshiro256PlusPlus::seed_from_u64(rng.random());
         let own = Record { of: id, version: 1, soft: bounded(soft) };
         let timing = settings.timing;
@@ -182,6 +183,7 @@
             fleet: envelope::fleet_number(&settings.fleet),
             swim: Foca::new(id, config(&settings), swim_rng, wire),
             named,
+            held,
             timers: BTreeMap::new(),
             set: 0,
             suspicions: Suspicions::new(timing.suspect),
@@ -250,6 +252,11 @@
         std::mem::take(&mut self.changes)
     }
 
+    /// The others as it sees them, by address.
+    pub fn seen(&self) -> impl Iterator<Item = &Seen> {
+        self.table.members()
+    }
+
     /// What it sees.
     pub fn view(&self) -> View {
         View {
@@ -347,7 +354,9 @@
                 return true;
             };
             self.swim_timer(Timer::RemoveDown(dead));
+            self.held.remove(dead.address);
         }
+        self.held.insert(from);
         let mut runtime = Runtime::default();
         let result = self.swim.handle_data(payload, &mut runtime);
         self.carry_out(runtime);
@@ -360,7 +369,12 @@
     }
 
     fn oldest_dead(&self) -> Option<Identity> {
-        let dead = self.table.members().filter(|seen| !seen.state.is_there());
+        // The table may still show one that was let go of since the last look.
+        let down = |seen: &&Seen| {
+            let mut all = self.swim.iter_membership_state();
+            all.any(|m| *m.id() == seen.id && m.state() == foca::State::Down)
+        };
+        let dead = self.table.members().filter(down);
         dead.min_by_key(|seen| seen.since).map(|seen| seen.id)
     }
 
@@ -593,7 +607,7 @@
                 }
             }
         }
-        if self.now >= self.round {
+        if self.now >= self.round && !planted::is(Fault::TellsRecordsOnce) {
             self.round = self.now + ROUND;
             let to = others[self.rng.random_range(0..others.len())].address;
             self.tell_records(to, true);
@@ -616,10 +630,13 @@
         self.table.look(self.now, id, &self.swim, &self.records, &mut self.count, &mut self.changes);
         let places = self.count.places().min(usize::from(u16::MAX)) as u16;
         self.tell(|soft| soft.places = places);
-        let table = &self.table;
-        self.heard.retain(|address, _| table.knows(address));
-        let own = self.settings.address;
-        self.records.retain(|address| address == own || table.knows(&address));
+        if self.table.turned() {
+            self.held.set(self.swim.iter_membership_state().map(|m| m.id().address));
+            let table = &self.table;
+            self.heard.retain(|address, _| table.knows(address));
+            let own = self.settings.address;
+            self.records.retain(|address| address == own || table.knows(&address));
+        }
     }
 
     /// Goes, and says so. The member answers nothing from then on; its last outputs are to be sent.
--- a/crates/fleet/src/member/table.rs
+++ b/crates/fleet/src/member/table.rs
@@ -14,6 +14,11 @@
     /// Names of which two members were told of.
     twice: BTreeSet<String>,
     count: usize,
+    /// The most places that any living member tells of.
+    told: usize,
+    /// What the last full look was taken of.
+    mark: (u64, u64),
+    turned: bool,
 }
 
 /// What a member is, by what `foca` and its own record say.
@@ -28,6 +33,19 @@
     }
 }
 
+/// Differs, as good as surely, where anything of the membership does. A full look costs far more than this, and calm
+/// fleets change seldom.
+fn mark(swim: &Swim) -> u64 {
+    let mut mark = 1u64;
+    for member in swim.iter_membership_state() {
+        let of =
+            (member.id().generation << 18) ^ (u64::from(member.incarnation()) << 2) ^ member.state() as u64;
+        let port = u64::from(member.id().address.port());
+        mark = (mark.rotate_left(5) ^ of ^ (port << 48)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    }
+    mark
+}
+
 impl Table {
     pub(super) fn members(&self) -> impl Iterator<Item = &Seen> {
         self.seen.values()
@@ -37,6 +55,11 @@
         self.seen.contains_key(address)
     }
 
+    /// Whether the last look was a close one.
+    pub(super) fn turned(&self) -> bool {
+        self.turned
+    }
+
     pub(super) fn count(&self) -> usize {
         self.count
     }
@@ -50,6 +73,28 @@
         records: &Records,
         count: &mut Count,
         changes: &mut Vec<Change>,
+    ) {
+        let mark = (mark(swim), records.changes());
+        self.turned = mark != self.mark;
+        if self.turned {
+            self.mark = mark;
+            self.look_closely(now, own, swim, records, count, changes);
+        }
+        let is = count.now(now, self.told);
+        if is != self.count {
+            changes.push(Change::Count { was: self.count, is, living: count.living() });
+            self.count = is;
+        }
+    }
+
+    fn look_closely(
+        &mut self,
+        now: Nanos,
+        own: Identity,
+        swim: &Swim,
+        records: &Records,
+        count: &mut Count,
+        changes: &mut Vec<Change>,
     ) {
         let mut here = BTreeSet::new();
         let mut told = 0;
@@ -89,12 +134,8 @@
             }
         }
         self.seen.retain(|address, _| here.contains(address));
+        self.told = told;
         self.names(changes);
-        let is = count.now(now, told);
-        if is != self.count {
-            changes.push(Change::Count { was: self.count, is, living: count.living() });
-            self.count = is;
-        }
     }
 
     fn names(&mut self, changes: &mut Vec<Change>) {
--- a/crates/fleet/src/planted.rs
+++ b/crates/fleet/src/planted.rs
@@ -23,8 +23,8 @@
     ReadsForeignFleets,
     /// A leave is not told.
     LeavesSilently,
-    /// Records that are missing are not asked for.
-    NeverAsksForRecords,
+    /// Records are told while they are news, and neither asked for nor told again.
+    TellsRecordsOnce,
 }
 
 impl Fault {
@@ -39,7 +39,7 @@
         (Fault::NoLastQuestion, "no-last-question"),
         (Fault::ReadsForeignFleets, "reads-foreign-fleets"),
         (Fault::LeavesSilently, "leaves-silently"),
-        (Fault::NeverAsksForRecords, "never-asks-for-records"),
+        (Fault::TellsRecordsOnce, "tells-records-once"),
     ];
 }
 
--- a/crates/fleet/src/records.rs
+++ b/crates/fleet/src/records.rs
@@ -70,6 +70,17 @@
         (self.of.generation, self.version) > (than.of.generation, than.version)
     }
 
+    /// Whether it says something that all should know soon. Traffic and places change all the time: rumours of them would
+    /// grow with the fleet; they are told in turn only.
+    fn is_urgent(&self, after: Option<&Record>) -> bool {
+        after.is_none_or(|after| {
+            let (new, old) = (&self.soft, &after.soft);
+            self.of != after.of
+                || (new.phase, new.door, new.config) != (old.phase, old.door, old.config)
+                || (&new.name, &new.build, &new.extra) != (&old.name, &old.build, &old.extra)
+        })
+    }
+
     fn is_bounded(&self) -> bool {
         let soft = &self.soft;
         soft.name.len() <= NAME_MAX && soft.build.len() <= BUILD_MAX && soft.extra.len() <= EXTRA_MAX
@@ -87,6 +98,8 @@
     /// Where the round of records that are told once more goes on.
     round: Option<SocketAddr>,
     wanted: Nanos,
+    /// Counts up with each change of any record.
+    changes: u64,
 }
 
 /// Cuts a text to so many bytes.
@@ -100,7 +113,7 @@
     pub fn new(own: Record) -> Self {
         let mut held = BTreeMap::new();
         held.insert(own.of.address, Held { record: own, rumours: RUMOURS });
-        Records { held, round: None, wanted: 0 }
+        Records { held, round: None, wanted: 0, changes: 0 }
     }
 
     /// What a member said last, of this life of its or a later one.
@@ -111,10 +124,23 @@
 
     /// Puts the member's own record; it is news.
     pub fn put(&mut self, record: Record, members: usize) {
-        let rumours = rumours(members);
+        self.insert(record, members);
+    }
+
+    fn insert(&mut self, record: Record, members: usize) {
+        self.changes += 1;
+        let former = self.held.get(&record.of.address);
+        let urgent = record.is_urgent(former.map(|held| &held.record));
+        // A rumour that still runs goes on with the newer word.
+        let rumours = if urgent { rumours(members) } else { former.map_or(0, |held| held.rumours) };
         self.held.insert(record.of.address, Held { record, rumours });
     }
 
+    /// Differs after each change of any record.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Takes in records of others; of an unknown member none is kept. The number of those that were news.
     pub fn take(
         &mut self,
@@ -135,7 +161,7 @@
                 continue;
             }
             if self.held.get(&address).is_none_or(|held| record.is_newer(&held.record)) {
-                self.held.insert(address, Held { record, rumours: rumours(members) });
+                self.insert(record, members);
                 news += 1;
             }
         }
@@ -192,7 +218,7 @@
 
     /// Whom to ask for, if it is time: living members that have said nothing of themselves yet.
     pub fn want<'a>(&mut self, now: Nanos, living: impl Iterator<Item = &'a Identity>) -> Option<Vec<u8>> {
-        if now.saturating_sub(self.wanted) < WANT_EVERY || planted::is(Fault::NeverAsksForRecords) {
+        if now.saturating_sub(self.wanted) < WANT_EVERY || planted::is(Fault::TellsRecordsOnce) {
             return None;
         }
         let missing: Vec<SocketAddr> =
@@ -280,12 +306,18 @@
             records.take(own(), &postcard::to_stdvec(&chunk).unwrap(), |_| true, 60);
         }
         let mut datagrams = 0;
+        records.put(record(1, 1, 2), 60);
+        assert!(records.has_news());
         while records.has_news() {
             assert!(records.tell(own(), false).len() <= PAYLOAD_MAX);
             datagrams += 1;
         }
         assert!(datagrams <= 59 * (RUMOURS + 5), "{datagrams}");
         assert_eq!(records.tell(own(), false), [0], "no news");
+        let mut busier = record(1, 1, 3);
+        busier.soft.traffic += 1;
+        records.put(busier, 60);
+        assert!(!records.has_news(), "told in its turn only");
         let mut heard = std::collections::BTreeSet::new();
         for _ in 0..30 {
             let told: Vec<Record> = postcard::from_bytes(&records.tell(own(), true)).unwrap();
--- a/crates/trials/src/ground.rs
+++ b/crates/trials/src/ground.rs
@@ -33,6 +33,8 @@
     pub fleet: bool,
     /// Of how many members each is told as join addresses.
     pub joins: usize,
+    /// Members are of so many fleets, in turn.
+    pub fleets: usize,
     /// Requests a second over all; 0 for no clients.
     pub rate: f64,
     /// For all that is drawn.
@@ -53,6 +55,7 @@
             cache: CacheOptions::default(),
             fleet: true,
             joins: 3,
+            fleets: 1,
             rate: 0.0,
             seed: 1,
             program: None,
@@ -190,7 +193,7 @@
             let fleet = plan.fleet.then(|| {
                 let join: Vec<SocketAddr> = advertised.iter().copied().take(plan.joins).collect();
                 let mut fleet = serde_json::json!({
-                    "name": "trial", "bind": own[i], "advertise": advertised[i], "join": join,
+                    "name": format!("trial-{}", i % plan.fleets.max(1)), "bind": own[i], "advertise": advertised[i], "join": join,
                 });
                 if let Some(object) = fleet.as_object_mut() {
                     object.extend(plan.fleet_keys.clone());
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod faults;
 pub mod ground;
 pub mod member;
+pub mod mutations;
 pub mod play;
 pub mod referee;
 pub mod relay;
@@ -16,3 +17,4 @@
 pub mod switch;
 pub mod timeline;
 pub mod virtual_time;
+pub mod virtual_trials;
--- a/crates/trials/src/main.rs
+++ b/crates/trials/src/main.rs
@@ -3,7 +3,7 @@
 use clap::{Parser, Subcommand};
 use pipitrun_trials::ground::Plan;
 use pipitrun_trials::play::{Report, play};
-use pipitrun_trials::scenarios;
+use pipitrun_trials::{mutations, scenarios, virtual_trials};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -45,8 +45,38 @@
         #[arg(long)]
         planted: Option<String>,
     },
-    /// Names the scenarios.
+    /// Names the scenarios, and the trials in virtual time.
     List,
+    /// Measures the fleet crate alone, in virtual time; a row of JSON for each size, loss and seed.
+    Measure {
+        /// Sizes.
+        #[arg(long, value_delimiter = ',', default_values_t = [10, 100])]
+        members: Vec<usize>,
+        /// Shares of datagrams that are lost.
+        #[arg(long, value_delimiter = ',', default_values_t = [0.0, 0.1, 0.2, 0.3])]
+        loss: Vec<f64>,
+        /// Seeds, from 1.
+        #[arg(long, default_value_t = 5)]
+        seeds: u64,
+        /// How long nothing happens, for the figures a second; in seconds.
+        #[arg(long, default_value_t = 30)]
+        calm: u64,
+    },
+    /// The greatest sum of shares through splits in virtual time, by the rule and without it.
+    Shares {
+        /// Members.
+        #[arg(long, default_value_t = 12)]
+        members: usize,
+        /// Seeds, from 1.
+        #[arg(long, default_value_t = 20)]
+        seeds: u64,
+    },
+    /// Plants each mistake and plays the trial that has to find it; needs the feature `planted`.
+    Mutations {
+        /// The program, built with the feature too.
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
 }
 
 fn main() -> ExitCode {
@@ -58,6 +88,9 @@
     }
     let result = match Arguments::parse().command {
         Command::List => list(),
+        Command::Measure { members, loss, seeds, calm } => measure(&members, &loss, seeds, calm),
+        Command::Shares { members, seeds } => shares(members, seeds),
+        Command::Mutations { program } => mutations(program),
         Command::Run { scenario, instances, seed, repeat, out, program, no_fleet, planted } => {
             let plan = Plan { program, fleet: !no_fleet, planted, ..Plan::default() };
             run(&scenario, instances, (seed, repeat), out, &plan, &interrupted)
@@ -74,9 +107,48 @@
     for name in scenarios::names() {
         println!("{name:14} {}", scenarios::find(name)?.about);
     }
+    for (name, _) in virtual_trials::ALL {
+        println!("{name:14} in virtual time");
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn measure(members: &[usize], loss: &[f64], seeds: u64, calm: u64) -> Result<ExitCode, String> {
+    for (members, loss) in members.iter().flat_map(|m| loss.iter().map(move |l| (*m, *l))) {
+        for seed in 1..=seeds {
+            let measured = virtual_trials::measure(members, loss, seed, calm);
+            println!("{}", serde_json::to_string(&measured).map_err(|e| e.to_string())?);
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn shares(members: usize, seeds: u64) -> Result<ExitCode, String> {
+    for parts in [2, 3, 5] {
+        let (mut by_rule, mut at_once) = (0f64, 0f64);
+        for seed in 1..=seeds {
+            let (one, other) = virtual_trials::shares(members, parts, seed)?;
+            (by_rule, at_once) = (by_rule.max(one), at_once.max(other));
+        }
+        println!(
+            "{members} members in {parts} parts, {seeds} seeds: {at_once:.2} at once, {by_rule:.2} by the rule"
+        );
+    }
     Ok(ExitCode::SUCCESS)
 }
 
+fn mutations(program: Option<PathBuf>) -> Result<ExitCode, String> {
+    let own = std::env::current_exe().map_err(|e| e.to_string())?;
+    let rows = mutations::check(&own, program.as_deref())?;
+    for row in &rows {
+        let found = if row.found { "found" } else { "NOT FOUND" };
+        println!("| `{}` | `{}` | {found} | {} |", row.fault, row.trial, row.with);
+    }
+    let found = rows.iter().filter(|row| row.found).count();
+    println!("{found} of {} found", rows.len());
+    Ok(if found == rows.len() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
 fn run(
     name: &str,
     instances: Option<usize>,
@@ -85,6 +157,18 @@
     plan: &Plan,
     interrupted: &AtomicBool,
 ) -> Result<ExitCode, String> {
+    if let Some(result) = mutations::play_virtual(name, seed) {
+        return Ok(match result {
+            Ok(()) => {
+                println!("verdict: passed");
+                ExitCode::SUCCESS
+            }
+            Err(e) => {
+                println!("verdict: failed {e}");
+                ExitCode::FAILURE
+            }
+        });
+    }
     let scenario = scenarios::find(name)?;
     let mut reports = Vec::new();
     for seed in seed..seed + repeat {
@@ -92,6 +176,7 @@
             instances: instances.unwrap_or(scenario.instances),
             caches: scenario.caches,
             rate: scenario.rate,
+            fleets: scenario.fleets,
             seed,
             ..plan.clone()
         };
--- /dev/null
+++ b/crates/trials/src/mutations.rs
@@ -0,0 +1,94 @@
+//! The mutation check: each mistake that can be planted has to be found by a trial that passes without it.
+
+use crate::virtual_trials;
+use pipitrun_fleet::planted::Fault;
+use serde::Serialize;
+use std::path::Path;
+use std::process::Command;
+
+/// Which trial finds which mistake.
+const FINDS: [(Fault, &str); 10] = [
+    (Fault::ForgetsRefutation, "lossy"),
+    (Fault::BelievesOldGeneration, "rolling"),
+    (Fault::CountsOwnSideAtOnce, "split"),
+    (Fault::NeverAsksTheDead, "split"),
+    (Fault::TrustsItselfAfterAStall, "virtual-asleep"),
+    (Fault::AccusesWhileCutOff, "virtual-deaf"),
+    (Fault::NoLastQuestion, "virtual-lossy"),
+    (Fault::ReadsForeignFleets, "strangers"),
+    (Fault::LeavesSilently, "leave"),
+    (Fault::TellsRecordsOnce, "virtual-newcomer"),
+];
+
+/// One row of the table.
+#[derive(Clone, Debug, Serialize)]
+pub struct Row {
+    /// What was planted.
+    pub fault: &'static str,
+    /// The trial.
+    pub trial: &'static str,
+    /// Its verdict without.
+    pub without: String,
+    /// Its verdict with it.
+    pub with: String,
+    /// It passes without and fails with it.
+    pub found: bool,
+}
+
+/// Plays each mistake's trial without and with it, by this very command in processes of its own.
+pub fn check(own: &Path, program: Option<&Path>) -> Result<Vec<Row>, String> {
+    if !cfg!(feature = "planted") {
+        return Err("built without the feature planted".into());
+    }
+    let play = |trial: &str, fault: Option<&str>| -> Result<String, String> {
+        let mut command = Command::new(own);
+        command.args(["run", trial]).env_remove("PIPITRUN_PLANTED");
+        if let Some(program) = program {
+            command.arg("--program").arg(program);
+        }
+        if let Some(fault) = fault {
+            // For the members, which are processes or play in this one.
+            command.args(["--planted", fault]).env("PIPITRUN_PLANTED", fault);
+        }
+        let output = command.output().map_err(|e| e.to_string())?;
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        text.lines().last().map(str::to_string).ok_or_else(|| format!("{trial}: no verdict"))
+    };
+    FINDS
+        .iter()
+        .map(|(fault, trial)| {
+            let name = Fault::ALL.iter().find(|(f, _)| f == fault).map_or("", |(_, name)| name);
+            let (without, with) = (play(trial, None)?, play(trial, Some(name))?);
+            let found = without == "verdict: passed"
+                && with.starts_with("verdict: failed ")
+                && !with.ends_with("to play");
+            Ok(Row { fault: name, trial, without, with, found })
+        })
+        .collect()
+}
+
+/// Plays a trial in virtual time, if there is one of this name.
+pub fn play_virtual(name: &str, seed: u64) -> Option<Result<(), String>> {
+    virtual_trials::ALL.iter().find(|(n, _)| *n == name).map(|(_, trial)| trial(seed))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_mistake_has_its_trial_and_each_trial_exists() {
+        for (fault, name) in Fault::ALL {
+            let trial = FINDS.iter().find(|(f, _)| *f == fault).unwrap_or_else(|| panic!("{name}")).1;
+            let known = crate::scenarios::names().chain(virtual_trials::ALL.iter().map(|(n, _)| *n));
+            assert!(known.into_iter().any(|n| n == trial), "{trial}");
+        }
+    }
+
+    #[test]
+    fn the_trials_in_virtual_time_pass() {
+        for (name, trial) in virtual_trials::ALL {
+            assert_eq!(trial(1), Ok(()), "{name}");
+        }
+    }
+}
--- a/crates/trials/src/play.rs
+++ b/crates/trials/src/play.rs
@@ -87,6 +87,13 @@
         let everyone: Vec<usize> = (0..n).collect();
         self.ground.set_links(&everyone, &everyone, self.scenario.links);
         (0..n).for_each(|i| self.referee.away(0.0, i, true));
+        // Members of two fleets are to each other as if there were no way.
+        let fleets = self.ground.plan.fleets;
+        for (i, j) in
+            (0..n).flat_map(|i| (0..n).map(move |j| (i, j))).filter(|(i, j)| i % fleets != j % fleets)
+        {
+            self.referee.cut(0.0, i, j, true);
+        }
         self.ground.start_all()?;
         self.note("all started".into());
         let started = Instant::now();
--- a/crates/trials/src/scenarios.rs
+++ b/crates/trials/src/scenarios.rs
@@ -2,7 +2,7 @@
 
 use crate::timeline::{Scenario, read};
 
-const ALL: [(&str, &str); 7] = [
+const ALL: [(&str, &str); 10] = [
     ("join", include_str!("../scenarios/join.toml")),
     ("kill-quarter", include_str!("../scenarios/kill-quarter.toml")),
     ("stall", include_str!("../scenarios/stall.toml")),
@@ -10,6 +10,9 @@
     ("one-way", include_str!("../scenarios/one-way.toml")),
     ("lossy", include_str!("../scenarios/lossy.toml")),
     ("rolling", include_str!("../scenarios/rolling.toml")),
+    ("leave", include_str!("../scenarios/leave.toml")),
+    ("strangers", include_str!("../scenarios/strangers.toml")),
+    ("lossy-long", include_str!("../scenarios/lossy-long.toml")),
 ];
 
 /// Their names.
--- a/crates/trials/src/timeline.rs
+++ b/crates/trials/src/timeline.rs
@@ -22,6 +22,9 @@
     /// What is wrong on every link of datagrams from the start.
     #[serde(default)]
     pub links: Faults,
+    /// Members are of so many fleets, in turn; all are told the same addresses to ask.
+    #[serde(default = "one")]
+    pub fleets: usize,
     /// Suspicions that are refuted at once are no error: datagrams get lost on this ground.
     #[serde(default)]
     pub suspicions: bool,
@@ -40,6 +43,10 @@
     4
 }
 
+fn one() -> usize {
+    1
+}
+
 fn bound() -> f64 {
     1.7
 }
@@ -106,6 +113,9 @@
 /// Reads a scenario; the error names what is wrong and where.
 pub fn read(text: &str) -> Result<Scenario, String> {
     let scenario: Scenario = toml::from_str(text).map_err(|e| e.to_string())?;
+    if scenario.fleets == 0 {
+        return Err("fleets: 0; 1 or more are expected".into());
+    }
     let mut before = 0.0;
     for (i, step) in scenario.steps.iter().enumerate() {
         let wrong = |key: &str, problem: String| Err(format!("step[{i}].{key}: {problem}"));
--- a/crates/trials/src/virtual_time.rs
+++ b/crates/trials/src/virtual_time.rs
@@ -3,7 +3,7 @@
 use pipitrun_fleet::{Change, FleetSettings, MS, Member, Nanos, Phase, Soft, State, Timing, Traffic, View};
 use rand::{RngExt, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
 /// What the network does to each datagram.
@@ -56,6 +56,7 @@
     timing: Timing,
     joins: usize,
     members_max: usize,
+    numbers: HashMap<SocketAddr, usize>,
 }
 
 /// Datagrams that wait at a member that stands still, at most.
@@ -90,6 +91,7 @@
             timing: Timing::default(),
             joins,
             members_max: 2_048,
+            numbers: (0..n).map(|i| (address(i), i)).collect(),
         }
     }
 
@@ -208,7 +210,7 @@
 
     fn send(&mut self, from: usize, outputs: Vec<(SocketAddr, Vec<u8>)>) {
         for (to, datagram) in outputs {
-            let Some(to) = (0..self.places.len()).find(|n| address(*n) == to) else { continue };
+            let Some(to) = self.numbers.get(&to).copied() else { continue };
             self.pass(from, to, datagram);
         }
     }
@@ -288,7 +290,7 @@
         self.places[n].sent_max = self.places[n].sent_max.max(sent);
         for change in changes {
             if let Change::Became { id, is: State::Dead, .. } = change
-                && let Some(other) = (0..self.places.len()).find(|m| address(*m) == id.address)
+                && let Some(&other) = self.numbers.get(&id.address)
                 && self.places[other].member.as_ref().is_some_and(|m| m.id() == id)
                 && self.places[other].stalled <= self.now
                 && !self.cut[other][n]
@@ -309,19 +311,19 @@
     pub fn settled_by(&self, side: impl Fn(usize) -> usize) -> bool {
         let running = self.running();
         running.iter().all(|n| {
-            let view = self.view(*n);
-            let there = view.members.iter().filter(|seen| seen.state.is_there()).count();
-            let with_it: Vec<usize> =
-                running.iter().copied().filter(|m| m != n && side(*m) == side(*n)).collect();
-            there == with_it.len()
-                && with_it.iter().all(|m| {
-                    let id = self.places[*m].member.as_ref().map(Member::id);
-                    view.members.iter().any(|s| {
-                        // Where datagrams get lost a suspicion that is refuted at once is no error.
-                        let serves = s.soft.as_ref().is_some_and(|soft| soft.phase == Phase::Serving);
-                        Some(s.id) == id && (s.state == State::Serving || s.state == State::Stalled && serves)
-                    })
-                })
+            let Some(member) = &self.places[*n].member else { return false };
+            let with_it = running.iter().filter(|m| *m != n && side(**m) == side(*n)).count();
+            let mut there = 0;
+            let true_ones = member.seen().filter(|seen| {
+                there += usize::from(seen.state.is_there());
+                // Where datagrams get lost a suspicion that is refuted at once is no error.
+                let serves = seen.soft.as_ref().is_some_and(|soft| soft.phase == Phase::Serving);
+                let right = seen.state == State::Serving || seen.state == State::Stalled && serves;
+                let of = self.numbers.get(&seen.id.address).copied().filter(|m| side(*m) == side(*n));
+                let id = of.and_then(|m| self.places[m].member.as_ref()).map(Member::id);
+                right && id == Some(seen.id)
+            });
+            true_ones.count() == with_it && there == with_it
         })
     }
 
--- a/crates/trials/tests/virtual_time.rs
+++ b/crates/trials/tests/virtual_time.rs
@@ -124,9 +124,10 @@
     fleet.start_all();
     fleet.play(20 * S);
     for n in 0..60 {
-        // What one datagram brings beyond the bound is the most that comes in over it.
-        assert!(fleet.view(n).members.len() <= 10 + 64, "{}", fleet.view(n).members.len());
+        let members = fleet.view(n).members.len();
+        assert!(members <= 10 + 1, "{members}: ten, and the sender of a datagram at the bound");
     }
+    assert!(fleet.view(0).members.len() >= 10 && fleet.traffic(0).full > 0, "the others are counted");
 }
 
 #[test]
