--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -42,7 +42,7 @@
         Timing {
             probe: 1_000 * MS,
             answer: 300 * MS,
-            suspect: 1_200 * MS,
+            suspect: 1_000 * MS,
             hold: 15_000 * MS,
             forget: 600_000 * MS,
         }
--- a/crates/fleet/src/watch.rs
+++ b/crates/fleet/src/watch.rs
@@ -23,7 +23,7 @@
 /// How often a silent member is asked by each of its watchers.
 pub const ASK_EVERY: Nanos = 100 * MS;
 /// A watcher that has heard nothing for this long, though it asked, suspects.
-pub const SILENT: Nanos = 1_000 * MS;
+pub const SILENT: Nanos = 900 * MS;
 /// The lists of watchers are drawn anew at most this often: it costs a step for each pair of members.
 const DRAW_EVERY: Nanos = 300 * MS;
 
@@ -198,10 +198,10 @@
         assert_eq!(due(499, 1, true, 0), []);
         assert_eq!(due(500, 1, true, 0), [Step::Ask(at(2))]);
         assert_eq!(due(599, 1, true, 0), []);
-        assert_eq!(due(1_000, 2, true, 0), [Step::Ask(at(2))], "in doubt of itself");
-        assert_eq!(due(1_001, 1, false, 0), [], "cut off itself");
-        assert_eq!(due(1_002, 1, true, 0), [Step::Suspect(at(2))]);
-        assert_eq!(due(1_003, 1, true, 0), [], "said once");
+        assert_eq!(due(900, 2, true, 0), [Step::Ask(at(2))], "in doubt of itself");
+        assert_eq!(due(901, 1, false, 0), [], "cut off itself");
+        assert_eq!(due(902, 1, true, 0), [Step::Suspect(at(2))]);
+        assert_eq!(due(903, 1, true, 0), [], "said once");
         assert_eq!(due(1_400, 1, true, 1_000), []);
         assert_eq!(due(2_000, 1, true, 1_000), [Step::Ask(at(2)), Step::Suspect(at(2))], "silent again");
         mine.begin_anew(2_000 * MS);
--- a/crates/pipitrun/src/config/fleet.rs
+++ b/crates/pipitrun/src/config/fleet.rs
@@ -137,7 +137,7 @@
             (format!("{{{good},\"join\":[\"x\"]}}"), "fleet.join[0]: \"x\" is no address with a port"),
             (format!("{{{good},\"members_max\":1}}"), "fleet.members_max: 1 is not in 2 to 4096"),
             (format!("{{{good},\"suspect_ms\":9}}"), "fleet.suspect_ms: 9 ms is not in 300 to 60000"),
-            (format!("{{{good},\"hold_ms\":1000}}"), "fleet.hold_ms: 1000 ms is not in 1200 to 3600000"),
+            (format!("{{{good},\"hold_ms\":900}}"), "fleet.hold_ms: 900 ms is not in 1000 to 3600000"),
             (
                 format!("{{{good},\"forget_ms\":20000}}"),
                 "fleet.forget_ms: 20000 ms is not in 30000 to 86400000",
