Trials of overload, to bring it about before any change: load, cold caches, a slow origin, returns, and a meter

Stand-ins: an origin that can be slowed, caches that turn away and come back cold, clients whose load changes, who are unevenly spread, obey a refusal or come again at once elsewhere. The meter gives the fleet second by second (requests, tries, copies, probes, connections, fetches, worth), judges the spans before, in and after the trouble (worth against perfect choice, refusals by balancer and reason), and the time until nine tenths are back. Seven scenarios; no figures yet. The program is untouched.

--- a/crates/trials/src/ground.rs
+++ b/crates/trials/src/ground.rs
@@ -4,9 +4,10 @@
 use crate::faults::{Faults, Link};
 use crate::member::{MemberProcess, Spec, View};
 use crate::relay::Relay;
-use crate::stand_ins::cache::{Cache, CacheOptions};
-use crate::stand_ins::clients::Clients;
+use crate::stand_ins::cache::{Cache, CacheOptions, Counts};
+use crate::stand_ins::clients::{Behaviour, Clients, Load};
 use crate::stand_ins::discovery::{Discovery, Host, List};
+use crate::stand_ins::origin::{Origin, OriginOptions};
 use crate::switch::Switch;
 use std::collections::HashMap;
 use std::io;
@@ -29,6 +30,14 @@
     pub caches: usize,
     /// How the caches work.
     pub cache: CacheOptions,
+    /// How a cache works that has just started.
+    pub cold: CacheOptions,
+    /// The origin behind the caches, if there is one.
+    pub origin: Option<OriginOptions>,
+    /// How clients behave.
+    pub clients: Behaviour,
+    /// The most requests a second that the timeline asks for; so many clients are there.
+    pub rate_most: f64,
     /// The key `fleet` is set.
     pub fleet: bool,
     /// Of how many members each is told as join addresses.
@@ -53,6 +62,10 @@
             instances: 6,
             caches: 4,
             cache: CacheOptions::default(),
+            cold: CacheOptions::default(),
+            origin: None,
+            clients: Behaviour::default(),
+            rate_most: 0.0,
             fleet: true,
             joins: 3,
             fleets: 1,
@@ -124,6 +137,12 @@
     pub caches: Vec<Option<Cache>>,
     /// The list that discovery tells.
     pub list: List,
+    /// The origin, if there is one.
+    pub origin: Option<Origin>,
+    /// Requests a second of all clients.
+    pub load: Load,
+    /// What came to caches that have died since.
+    past: Counts,
     clients: Option<Clients>,
     switch: Switch,
     /// `relays[member][cache]`.
@@ -142,6 +161,15 @@
     }
 }
 
+fn add(sum: &mut Counts, more: Counts) {
+    sum.tries += more.tries;
+    sum.turned_away += more.turned_away;
+    sum.probes += more.probes;
+    sum.connections += more.connections;
+    sum.hits += more.hits;
+    sum.misses += more.misses;
+}
+
 fn cache_name(n: usize) -> String {
     format!("c-{n}")
 }
@@ -170,9 +198,11 @@
         let own: Vec<SocketAddr> = (0..n).map(|i| network.member(i, 7_946)).collect();
         let switch = Switch::start(&advertised, &own, plan.seed).map_err(told("switch"))?;
         let list = List::default();
+        let origin = plan.origin.map(Origin::new);
         let mut caches = Vec::new();
         for c in 0..plan.caches {
-            let cache = Cache::start(&cache_name(c), network.cache(c), plan.cache).map_err(told("cache"))?;
+            let cache = Cache::start(&cache_name(c), network.cache(c), plan.cache, origin.clone());
+            let cache = cache.map_err(told("cache"))?;
             caches.push(Some(cache));
             list.put(&cache_name(c), Host { health: "in_service", born_ms: 0 });
         }
@@ -220,6 +250,9 @@
             members,
             caches,
             list,
+            origin,
+            load: Load::default(),
+            past: Counts::default(),
             clients: None,
             switch,
             relays,
@@ -240,8 +273,10 @@
             let doors: Vec<SocketAddr> =
                 (0..self.plan.instances).map(|i| self.network.member(i, 6_379)).collect();
             // More at a time than the slowest class keeps out; each has one request out.
-            let workers = (self.plan.rate.ceil() as usize).clamp(8, 128);
-            self.clients = Some(Clients::start(&doors, workers, self.plan.rate, self.plan.seed, self.begun));
+            let workers = (self.plan.rate.max(self.plan.rate_most).ceil() as usize).clamp(8, 1_000);
+            self.load.set(self.plan.rate);
+            let (seed, behaviour) = (self.plan.seed, self.plan.clients);
+            self.clients = Some(Clients::start(&doors, workers, &self.load, behaviour, seed, self.begun));
         }
     }
 
@@ -277,17 +312,47 @@
 
     /// Ends a cache, and takes it from nobody's list: that comes later, as it does in service.
     pub fn kill_cache(&mut self, n: usize) {
-        self.caches[n] = None;
+        if let Some(cache) = self.caches[n].take() {
+            add(&mut self.past, cache.counts());
+        }
+    }
+
+    /// Takes a cache from the list.
+    pub fn unlist_cache(&self, n: usize) {
+        self.list.remove(&cache_name(n));
     }
 
-    /// Starts a cache again, cold.
-    pub fn start_cache(&mut self, n: usize, born_ms: u64) -> Result<(), String> {
-        let cache = Cache::start(&cache_name(n), self.network.cache(n), self.plan.cache);
+    /// Starts a cache again, cold and holding nothing; the list says so later.
+    pub fn start_cache(&mut self, n: usize) -> Result<(), String> {
+        let cache = Cache::start(&cache_name(n), self.network.cache(n), self.plan.cold, self.origin.clone());
         self.caches[n] = Some(cache.map_err(|e| e.to_string())?);
-        self.list.put(&cache_name(n), Host { health: "in_service", born_ms });
         Ok(())
     }
 
+    /// Puts a cache on the list.
+    pub fn list_cache(&self, n: usize, born_ms: u64) {
+        self.list.put(&cache_name(n), Host { health: "in_service", born_ms });
+    }
+
+    /// What came to all caches, those that have died included.
+    pub fn cache_counts(&self) -> Counts {
+        let mut sum = self.past;
+        self.caches.iter().flatten().for_each(|cache| add(&mut sum, cache.counts()));
+        sum
+    }
+
+    /// The members' counters, summed over all their lives. Those that are asked now answer by the next call.
+    pub fn member_counts(&self) -> std::collections::BTreeMap<String, u64> {
+        let mut sum = std::collections::BTreeMap::new();
+        for member in &self.members {
+            member.ask_counters();
+            for (name, count) in member.counters() {
+                *sum.entry(name).or_insert(0) += count;
+            }
+        }
+        sum
+    }
+
     /// What each member sees, of those that answer; `None` of the others.
     pub fn views(&self) -> Vec<Option<View>> {
         self.members.iter().map(MemberProcess::view).collect()
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod faults;
 pub mod ground;
 pub mod member;
+pub mod meter;
 pub mod mutations;
 pub mod play;
 pub mod referee;
--- a/crates/trials/src/main.rs
+++ b/crates/trials/src/main.rs
@@ -205,6 +205,11 @@
             caches: scenario.caches,
             rate: scenario.rate,
             fleets: scenario.fleets,
+            cache: scenario.cache.options(false),
+            cold: scenario.cache.options(true),
+            origin: scenario.origin.map(|origin| origin.options()),
+            clients: scenario.clients,
+            rate_most: scenario.steps.iter().filter_map(|step| step.rate).fold(0.0, f64::max),
             seed,
             ..plan.clone()
         };
@@ -217,6 +222,37 @@
             println!("  {what}: all views true after {seconds:.2} s");
         }
         println!("  greatest sum of shares {:.2}; requests {:?}", report.shares_most, report.requests);
+        for (name, span) in &report.spans {
+            println!(
+                "  {name}: worth {:.2}, of perfect {:.2}; tries {:.2}, copies {:.2}, connections {:.2} a request; probes {:.2} a cache a second",
+                span.worth_share,
+                span.of_perfect,
+                span.tries_per_request,
+                span.copies_per_request,
+                span.connects_per_request,
+                span.probes_per_cache_s
+            );
+            for (class, of) in &span.classes {
+                println!(
+                    "    {class}: asked {}, served {}, late {}, refused {}, failed {}, unanswered {}; refused {:.2} to {:.2} by balancer",
+                    of.asked,
+                    of.served,
+                    of.late,
+                    of.refused,
+                    of.failed,
+                    of.unanswered,
+                    of.refused_least,
+                    of.refused_most
+                );
+            }
+            println!("    refused for {:?}", span.refused_by_reason);
+        }
+        if !report.spans.is_empty() {
+            match report.recovered_s {
+                Some(seconds) => println!("  nine tenths of the worth back {seconds:.0} s after the trouble"),
+                None => println!("  nine tenths of the worth did not come back"),
+            }
+        }
         for failure in &report.failures {
             println!("  {:7.2} s  {}: {}", failure.at, failure.invariant, failure.what);
         }
--- a/crates/trials/src/member.rs
+++ b/crates/trials/src/member.rs
@@ -3,6 +3,7 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
@@ -105,6 +106,8 @@
     child: Option<Child>,
     begun: Instant,
     lines: Arc<Mutex<Vec<Line>>>,
+    /// The counters of each life, as last printed.
+    counters: Arc<Mutex<Vec<BTreeMap<String, u64>>>>,
     starts: u64,
 }
 
@@ -117,8 +120,8 @@
 impl MemberProcess {
     /// A process that is not started yet.
     pub fn new(spec: Spec) -> Self {
-        let (begun, lines) = (Instant::now(), Arc::default());
-        MemberProcess { spec, meant: Meant::Down, child: None, begun, lines, starts: 0 }
+        let (begun, lines, counters) = (Instant::now(), Arc::default(), Arc::default());
+        MemberProcess { spec, meant: Meant::Down, child: None, begun, lines, counters, starts: 0 }
     }
 
     /// Starts it, under the same name and addresses each time.
@@ -143,7 +146,7 @@
         }
         let mut child = command
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(Stdio::piped())
             .stderr(Stdio::piped())
             .spawn()
             .map_err(|e| format!("{}: {e}", spec.program.display()))?;
@@ -159,11 +162,47 @@
                 }
             });
         }
+        if let Some(output) = child.stdout.take() {
+            let counters = Arc::clone(&self.counters);
+            let life = {
+                let mut counters = counters.lock().unwrap_or_else(PoisonError::into_inner);
+                counters.push(BTreeMap::new());
+                counters.len() - 1
+            };
+            std::thread::spawn(move || {
+                for text in BufReader::new(output).lines().map_while(Result::ok) {
+                    let Some(pairs) = text.strip_prefix("counters: ") else { continue };
+                    let read = pairs.split(' ').filter_map(|pair| {
+                        let (name, count) = pair.split_once('=')?;
+                        Some((name.to_string(), count.parse().ok()?))
+                    });
+                    counters.lock().unwrap_or_else(PoisonError::into_inner)[life] = read.collect();
+                }
+            });
+        }
         self.child = Some(child);
         self.meant = Meant::Up;
         Ok(())
     }
 
+    /// Has it print its counters, if it is at work.
+    pub fn ask_counters(&self) {
+        if self.meant == Meant::Up {
+            self.signal(Signal::SIGUSR1);
+        }
+    }
+
+    /// Its counters as last printed, summed over its lives.
+    pub fn counters(&self) -> BTreeMap<String, u64> {
+        let mut sum = BTreeMap::new();
+        for life in self.counters.lock().unwrap_or_else(PoisonError::into_inner).iter() {
+            for (name, count) in life {
+                *sum.entry(name.clone()).or_insert(0) += count;
+            }
+        }
+        sum
+    }
+
     /// Its log so far, over all its lives.
     pub fn log(&self) -> Vec<Line> {
         self.lines.lock().unwrap_or_else(PoisonError::into_inner).clone()
--- a/crates/trials/src/play.rs
+++ b/crates/trials/src/play.rs
@@ -3,15 +3,21 @@
 use crate::faults::Faults;
 use crate::ground::{Ground, Plan};
 use crate::member::Meant;
+use crate::meter::{self, Sample, Second, Span};
 use crate::referee::{Failure, Referee};
 use crate::timeline::{Act, Scenario, Step, members};
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// A process that is asked to end has this long; requests of the longest class and the platform's slack fit in.
 const END_MOST: Duration = Duration::from_secs(10);
+/// The list knows of a death this late, and of a start.
+const UNLISTED_AFTER: Duration = Duration::from_secs(2);
+const LISTED_AFTER: Duration = Duration::from_secs(1);
+/// Seconds of the timeline in which caches fill; not judged.
+const WARM_UP: f64 = 6.0;
 /// The members' logs are read this often for the sum of shares while nothing is waited for.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -38,6 +44,12 @@
     pub datagrams: (u64, u64),
     /// Means over the members that ran to the end, since their start.
     pub member: BTreeMap<String, f64>,
+    /// What the fleet did second by second, where it was metered.
+    pub seconds: Vec<Second>,
+    /// The judgement before, in and after the trouble.
+    pub spans: BTreeMap<String, Span>,
+    /// Seconds from the trouble's end until nine tenths of the worth were back; absent where they never came.
+    pub recovered_s: Option<f64>,
     /// What was done, and when, in seconds.
     pub done: Vec<(f64, String)>,
     /// What broke; at most fifty are told.
@@ -66,13 +78,34 @@
     done: Vec<(f64, String)>,
     settled: BTreeMap<String, f64>,
     interrupted: &'a AtomicBool,
+    /// The start of the timeline.
+    begun: Instant,
+    samples: Vec<Sample>,
+    /// What the list is to say of a cache, and when: whether it is there.
+    listings: Vec<(Instant, usize, bool)>,
+    seconds: Vec<Second>,
+    spans: BTreeMap<String, Span>,
+    recovered_s: Option<f64>,
 }
 
 /// Plays a scenario on a ground by this plan. `interrupted` ends it early.
 pub fn play(scenario: &Scenario, plan: Plan, interrupted: &AtomicBool) -> Result<Report, String> {
     let ground = Ground::lay_out(plan)?;
     let (referee, done, settled) = (Referee::default(), Vec::new(), BTreeMap::new());
-    let mut play = Play { ground, referee, scenario, done, settled, interrupted };
+    let mut play = Play {
+        ground,
+        referee,
+        scenario,
+        done,
+        settled,
+        interrupted,
+        begun: Instant::now(),
+        samples: Vec::new(),
+        listings: Vec::new(),
+        seconds: Vec::new(),
+        spans: BTreeMap::new(),
+        recovered_s: None,
+    };
     play.run()?;
     Ok(play.report())
 }
@@ -101,10 +134,16 @@
         let now = self.now();
         (0..n).for_each(|i| self.referee.away(now, i, false));
         self.ground.start_clients();
-        let begun = Instant::now();
+        self.begun = Instant::now();
+        let offset = self.now();
         for step in &self.scenario.steps {
-            while begun.elapsed().as_secs_f64() < step.at {
-                self.look();
+            while self.begun.elapsed().as_secs_f64() < step.at {
+                if self.scenario.trouble.is_some() {
+                    self.sample();
+                } else {
+                    self.look();
+                }
+                self.listings()?;
                 std::thread::sleep(LOOK);
                 self.check_interrupted()?;
             }
@@ -114,6 +153,7 @@
         self.referee.caches(at, &self.ground);
         self.referee.false_deaths(&self.ground);
         let ends = self.referee.clients(&asked);
+        self.judge(&asked, offset);
         self.settled_requests(ends);
         Ok(())
     }
@@ -124,6 +164,50 @@
         }
     }
 
+    /// Once a second: what the fleet did so far.
+    fn sample(&mut self) {
+        let at = self.begun.elapsed().as_secs_f64();
+        if at < self.samples.len() as f64 {
+            return;
+        }
+        let (caches, members) = (self.ground.cache_counts(), self.ground.member_counts());
+        let origin = self.ground.origin.as_ref().map(|o| o.counts()).unwrap_or_default();
+        self.samples.push(Sample { at, caches, origin, members });
+    }
+
+    /// Carries out what the list is to say by now.
+    fn listings(&mut self) -> Result<(), String> {
+        let now = Instant::now();
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.listings).into_iter().partition(|(at, ..)| *at <= now);
+        self.listings = later;
+        for (at, cache, there) in due {
+            if there {
+                let age = now.saturating_duration_since(at) + LISTED_AFTER;
+                let born = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|e| e.to_string())? - age;
+                self.ground.list_cache(cache, born.as_millis() as u64);
+            } else {
+                self.ground.unlist_cache(cache);
+            }
+        }
+        Ok(())
+    }
+
+    /// Judges the spans before, in and after the trouble, where there is one.
+    fn judge(&mut self, asked: &[crate::stand_ins::clients::Asked], offset: f64) {
+        let Some((from, to)) = self.scenario.trouble else { return };
+        let last = self.samples.last().map_or(to, |sample| sample.at);
+        let caches = self.ground.plan.caches;
+        let room = self.scenario.cache.room() * caches as f64;
+        let before = (WARM_UP.min(from), from);
+        for (name, span) in [("before", before), ("trouble", (from, to)), ("after", (to, last))] {
+            let judged = meter::span(span, &self.samples, asked, offset, room, caches);
+            self.spans.insert(name.into(), judged);
+        }
+        self.seconds = meter::seconds(&self.samples, asked, offset);
+        self.recovered_s = meter::recovery(&self.seconds, before, to);
+    }
+
     fn check_interrupted(&self) -> Result<(), String> {
         if self.interrupted.load(Ordering::Relaxed) { Err("interrupted".into()) } else { Ok(()) }
     }
@@ -193,6 +277,24 @@
             Act::Cut => self.links(&from, &to, step.both, Faults { cut: true, ..self.scenario.links }),
             Act::Link => self.links(&from, &to, step.both, step.faults),
             Act::Heal => self.links(&from, &to, step.both, self.scenario.links),
+            Act::Load => self.ground.load.set(step.rate.unwrap_or(self.scenario.rate)),
+            Act::KillCaches => {
+                for cache in members(&step.members, self.ground.plan.caches)? {
+                    self.ground.kill_cache(cache);
+                    self.listings.push((Instant::now() + UNLISTED_AFTER, cache, false));
+                }
+            }
+            Act::StartCaches => {
+                for cache in members(&step.members, self.ground.plan.caches)? {
+                    self.ground.start_cache(cache)?;
+                    self.listings.push((Instant::now() + LISTED_AFTER, cache, true));
+                }
+            }
+            Act::SlowOrigin => {
+                if let Some(origin) = &self.ground.origin {
+                    origin.slow(step.slow.unwrap_or(1.0));
+                }
+            }
             Act::Wait => {}
         }
         if let Some(name) = &step.settles {
@@ -278,6 +380,9 @@
             false_deaths: failures.iter().filter(|f| f.invariant == "false-death").count(),
             requests,
             datagrams: self.ground.datagrams(),
+            seconds: self.seconds,
+            spans: self.spans,
+            recovered_s: self.recovered_s,
             member,
             done: self.done,
             failures: failures.to_vec(),
--- a/crates/trials/src/referee.rs
+++ b/crates/trials/src/referee.rs
@@ -274,6 +274,8 @@
             took,
             end,
             extra,
+            again: false,
+            wait_ms: None,
         };
         let mut referee = Referee::default();
         referee.away(10.0, 2, true);
--- a/crates/trials/src/scenarios.rs
+++ b/crates/trials/src/scenarios.rs
@@ -2,7 +2,7 @@
 
 use crate::timeline::{Scenario, read};
 
-const ALL: [(&str, &str); 10] = [
+const ALL: [(&str, &str); 17] = [
     ("join", include_str!("../scenarios/join.toml")),
     ("kill-quarter", include_str!("../scenarios/kill-quarter.toml")),
     ("stall", include_str!("../scenarios/stall.toml")),
@@ -13,6 +13,13 @@
     ("leave", include_str!("../scenarios/leave.toml")),
     ("strangers", include_str!("../scenarios/strangers.toml")),
     ("lossy-long", include_str!("../scenarios/lossy-long.toml")),
+    ("overload", include_str!("../scenarios/overload.toml")),
+    ("cold-return", include_str!("../scenarios/cold-return.toml")),
+    ("slow-origin", include_str!("../scenarios/slow-origin.toml")),
+    ("uneven", include_str!("../scenarios/uneven.toml")),
+    ("overload-restarts", include_str!("../scenarios/overload-restarts.toml")),
+    ("insist", include_str!("../scenarios/insist.toml")),
+    ("bursts", include_str!("../scenarios/bursts.toml")),
 ];
 
 /// Their names.
--- a/crates/trials/src/stand_ins/cache.rs
+++ b/crates/trials/src/stand_ins/cache.rs
@@ -1,6 +1,7 @@
 //! A tile cache of limited room: it works at so many requests at a time, lets so many wait, starts cold, reads through,
 //! and counts every execution.
 
+use super::origin::Origin;
 use super::{Door, resp};
 use std::collections::{HashMap, HashSet};
 use std::io::{self, BufReader, Write};
@@ -54,8 +55,30 @@
     pub class: String,
 }
 
+/// What came to a cache, as counts since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Requests, those turned away included.
+    pub tries: u64,
+    /// Requests turned away.
+    pub turned_away: u64,
+    /// Probes.
+    pub probes: u64,
+    /// Connections.
+    pub connections: u64,
+    /// Reads that it held, and those that it had to fetch.
+    pub hits: u64,
+    /// See `hits`.
+    pub misses: u64,
+}
+
 #[derive(Default)]
 struct State {
+    tries: u64,
+    probes: u64,
+    connections: u64,
+    hits: u64,
+    misses: u64,
     at_work: usize,
     waiting: usize,
     turned_away: u64,
@@ -68,6 +91,7 @@
 struct Shared {
     name: String,
     options: CacheOptions,
+    origin: Option<Origin>,
     started: Instant,
     state: Mutex<State>,
     freed: Condvar,
@@ -94,11 +118,17 @@
 }
 
 impl Cache {
-    /// Starts it at an address.
-    pub fn start(name: &str, address: SocketAddr, options: CacheOptions) -> io::Result<Self> {
+    /// Starts it at an address; without an origin a miss takes `fetch`, and a write no longer than a hit.
+    pub fn start(
+        name: &str,
+        address: SocketAddr,
+        options: CacheOptions,
+        origin: Option<Origin>,
+    ) -> io::Result<Self> {
         let shared = Arc::new(Shared {
             name: name.into(),
             options,
+            origin,
             started: Instant::now(),
             state: Mutex::default(),
             freed: Condvar::new(),
@@ -117,11 +147,25 @@
     pub fn turned_away(&self) -> u64 {
         self.shared.state().turned_away
     }
+
+    /// What came to it so far.
+    pub fn counts(&self) -> Counts {
+        let state = self.shared.state();
+        Counts {
+            tries: state.tries,
+            turned_away: state.turned_away,
+            probes: state.probes,
+            connections: state.connections,
+            hits: state.hits,
+            misses: state.misses,
+        }
+    }
 }
 
 fn serve(shared: &Shared, stream: TcpStream) -> io::Result<()> {
     let mut input = BufReader::new(stream.try_clone()?);
     let mut output = stream;
+    shared.state().connections += 1;
     loop {
         let words = resp::command(&mut input)?;
         let words: Vec<&[u8]> = words.iter().map(Vec::as_slice).collect();
@@ -132,7 +176,10 @@
             [b"C.SET", key, id, options, value] => {
                 answer(shared, &mut output, key, id, options, Some(value))?;
             }
-            [b"PING", ..] => output.write_all(b"+PONG\r\n")?,
+            [b"PING", ..] => {
+                shared.state().probes += 1;
+                output.write_all(b"+PONG\r\n")?;
+            }
             _ => output.write_all(b"-SYNTAX\r\n")?,
         }
     }
@@ -155,6 +202,7 @@
     let k = field(&options, "k");
     let (note, word) = {
         let mut state = shared.state();
+        state.tries += 1;
         if state.at_work >= shared.options.slots {
             if state.waiting >= shared.options.queue {
                 state.turned_away += 1;
@@ -185,7 +233,9 @@
                 (None, b"stored".to_vec())
             }
             None => {
-                let hit = !state.held.insert(key.to_vec());
+                let hit = state.held.contains(key);
+                state.hits += u64::from(hit);
+                state.misses += u64::from(!hit);
                 let made =
                     || format!("tile {} by {}", String::from_utf8_lossy(key), shared.name).into_bytes();
                 let word = state.written.get(key).cloned().unwrap_or_else(made);
@@ -193,10 +243,24 @@
             }
         }
     };
-    let fetch = if note == Some("miss") { shared.options.fetch } else { Duration::ZERO };
-    std::thread::sleep(shared.options.service.mul_f64(shared.slowness()) + fetch);
+    std::thread::sleep(shared.options.service.mul_f64(shared.slowness()));
+    // The slot is the cache's own work; what waits for the origin holds none.
     shared.state().at_work -= 1;
     shared.freed.notify_one();
+    let fetched = match &shared.origin {
+        _ if note == Some("hit") => true,
+        Some(origin) => origin.work(),
+        None => {
+            std::thread::sleep(if note.is_some() { shared.options.fetch } else { Duration::ZERO });
+            true
+        }
+    };
+    if !fetched {
+        return output.write_all(b"-ERR failed\r\n");
+    }
+    if note == Some("miss") {
+        shared.state().held.insert(key.to_vec());
+    }
     let mut bytes = format!("*3\r\n${}\r\n", word.len()).into_bytes();
     bytes.extend(word);
     bytes.extend(match note {
--- a/crates/trials/src/stand_ins/clients.rs
+++ b/crates/trials/src/stand_ins/clients.rs
@@ -4,10 +4,10 @@
 use super::resp::{self, Answer};
 use rand::{RngExt, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -54,6 +54,10 @@
     pub end: End,
     /// More came on the connection than was asked for.
     pub extra: bool,
+    /// It was said again for one that was refused or failed.
+    pub again: bool,
+    /// How long the refusal asked the client to stay away, in milliseconds.
+    pub wait_ms: Option<u64>,
 }
 
 /// A class of requests: its name, its share, its deadline, and whether it is a write and carries a key.
@@ -63,6 +67,52 @@
     ("map-publish", 0.05, 2_500, true, false),
 ];
 
+/// How clients behave.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Behaviour {
+    /// How often a request that was refused or failed is said again, where that is harmless.
+    pub returns: u32,
+    /// Whether a return waits as long as the refusal says; else it comes at once, at another balancer.
+    pub obey: bool,
+    /// The first balancer gets so many times the mean of the others' traffic.
+    pub first: f64,
+}
+
+impl Default for Behaviour {
+    fn default() -> Self {
+        Behaviour { returns: 0, obey: true, first: 1.0 }
+    }
+}
+
+/// The longest wait that a client obeys, and what it waits where none is named.
+const OBEYED_MOST: u64 = 1_200;
+const WAIT_USUAL: Duration = Duration::from_millis(100);
+
+/// Requests a second over all clients, changed while they work.
+#[derive(Clone, Debug, Default)]
+pub struct Load(Arc<AtomicU64>);
+
+impl Load {
+    /// So many from now on.
+    pub fn set(&self, per_s: f64) {
+        self.0.store(per_s.max(0.0).to_bits(), Ordering::Relaxed);
+    }
+
+    fn get(&self) -> f64 {
+        f64::from_bits(self.0.load(Ordering::Relaxed))
+    }
+}
+
+/// What a client wants, over all its returns.
+struct Order {
+    class: &'static str,
+    deadline: u64,
+    write: bool,
+    keyed: Option<String>,
+    key: String,
+}
+
 /// Clients at work; they end with this.
 pub struct Clients {
     end: Arc<AtomicBool>,
@@ -72,7 +122,10 @@
 
 struct Client {
     doors: Vec<SocketAddr>,
+    /// Where it goes first.
+    home: usize,
     at: usize,
+    behaviour: Behaviour,
     stream: Option<(TcpStream, BufReader<TcpStream>)>,
     rng: Xoshiro256PlusPlus,
     name: String,
@@ -81,16 +134,32 @@
 }
 
 impl Clients {
-    /// `workers` clients that together send `per_s` requests a second to these doors, as seen from `begun`.
-    pub fn start(doors: &[SocketAddr], workers: usize, per_s: f64, seed: u64, begun: Instant) -> Self {
+    /// `workers` clients that together send as many requests a second as `load` says, to these doors, as seen from `begun`.
+    pub fn start(
+        doors: &[SocketAddr],
+        workers: usize,
+        load: &Load,
+        behaviour: Behaviour,
+        seed: u64,
+        begun: Instant,
+    ) -> Self {
         let (end, asked) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
-        let mean = workers as f64 / per_s.max(0.001);
+        // Of workers in turn so many stay with the first balancer that it gets its multiple of the mean.
+        let others = doors.len() as f64 - 1.0;
+        let first = behaviour.first / (behaviour.first + others);
         let threads = (0..workers)
             .map(|worker| {
                 let (end, asked) = (Arc::clone(&end), Arc::clone(&asked));
+                let load = load.clone();
+                let at = match (worker as f64 + 0.5) / workers as f64 {
+                    part if part < first || doors.len() == 1 => 0,
+                    _ => 1 + worker % (doors.len() - 1),
+                };
                 let mut client = Client {
                     doors: doors.to_vec(),
-                    at: worker % doors.len(),
+                    home: at,
+                    at,
+                    behaviour,
                     stream: None,
                     rng: Xoshiro256PlusPlus::seed_from_u64(
                         seed.wrapping_mul(1_000).wrapping_add(worker as u64),
@@ -102,14 +171,20 @@
                 std::thread::spawn(move || {
                     let mut next = Instant::now();
                     while !end.load(Ordering::Relaxed) {
-                        let gap = -(1.0 - client.rng.random::<f64>()).ln() * mean;
-                        next += Duration::from_secs_f64(gap);
-                        while Instant::now() < next && !end.load(Ordering::Relaxed) {
-                            let left = next.saturating_duration_since(Instant::now());
-                            std::thread::sleep(left.min(Duration::from_millis(50)));
+                        let gap = -(1.0 - client.rng.random::<f64>()).ln();
+                        // How much of the gap is over; the load may change in the middle of it.
+                        let mut gone = 0.0;
+                        while gone < gap && !end.load(Ordering::Relaxed) {
+                            let per_s = load.get() / workers as f64;
+                            let left = if per_s > 0.0 { (gap - gone) / per_s } else { 1.0 };
+                            let step = Duration::from_secs_f64(left.min(0.05));
+                            next += step;
+                            gone += step.as_secs_f64() * per_s + f64::EPSILON;
+                            std::thread::sleep(next.saturating_duration_since(Instant::now()));
                         }
-                        let one = client.ask();
-                        asked.lock().unwrap_or_else(PoisonError::into_inner).push(one);
+                        // One that was long at work does not send all at once what it missed.
+                        next = next.max(Instant::now() - Duration::from_millis(500));
+                        client.ask_until_done(&asked);
                     }
                 })
             })
@@ -144,20 +219,60 @@
         self.stream.as_mut().ok_or_else(|| io::Error::other("no connection"))
     }
 
-    fn ask(&mut self) -> Asked {
+    /// One request, and its returns.
+    fn ask_until_done(&mut self, asked: &Mutex<Vec<Asked>>) {
+        let order = self.order();
+        let mut again = 0;
+        loop {
+            let one = self.ask(&order, again > 0);
+            let (end, wait_ms) = (one.end, one.wait_ms);
+            asked.lock().unwrap_or_else(PoisonError::into_inner).push(one);
+            // After a failure only what may run twice is said again; a refusal says that a return is harmless.
+            let harmless = end == End::Refused || end == End::Failed && order.class != "map-publish";
+            if !harmless || again >= self.behaviour.returns {
+                break;
+            }
+            again += 1;
+            if self.behaviour.obey {
+                let wait = wait_ms.map_or(WAIT_USUAL, |ms| Duration::from_millis(ms.min(OBEYED_MOST)));
+                std::thread::sleep(wait);
+            } else if self.doors.len() > 1 {
+                self.stream = None;
+                self.at = (self.at + 1 + self.rng.random_range(0..self.doors.len() - 1)) % self.doors.len();
+            }
+        }
+        if self.at != self.home && self.stream.is_some() && !self.behaviour.obey {
+            self.stream = None;
+            self.at = self.home;
+        }
+    }
+
+    /// What is asked for next.
+    fn order(&mut self) -> Order {
         let mut draw = self.rng.random::<f64>();
         let class = CLASSES.iter().find(|(_, share, ..)| {
             draw -= share;
             draw < 0.0
         });
         let (class, _, deadline, write, keyed) = *class.unwrap_or(&CLASSES[0]);
-        self.sent += 1;
-        let id = format!("{}{:012x}", self.name, self.sent);
         // A few keys are asked for far more than the others.
         let key = format!("{:016x}", (KEYS as f64 * self.rng.random::<f64>().powi(3)) as u64);
+        // A return carries the key of the first.
+        let keyed = keyed.then(|| format!("{}-{:x}", self.name, self.sent + 1));
+        Order { class, deadline, write, keyed, key }
+    }
+
+    fn ask(&mut self, order: &Order, again: bool) -> Asked {
+        let Order { class, deadline, write, keyed, key } = order;
+        let (class, deadline, write) = (*class, *deadline, *write);
+        self.sent += 1;
+        let id = format!("{}{:012x}", self.name, self.sent);
         let mut options = format!("c={class},t=kvemo-tetri,d={deadline}");
-        if keyed {
-            options.push_str(&format!(",k={id}"));
+        if let Some(k) = keyed {
+            options.push_str(&format!(",k={k}"));
+        }
+        if again {
+            options.push_str(",r=1");
         }
         let mut words: Vec<&[u8]> =
             vec![if write { b"C.SET" } else { b"C.GET" }, key.as_bytes(), id.as_bytes(), options.as_bytes()];
@@ -168,16 +283,23 @@
         let command = resp::write_command(&words);
         let (begun, sent) = (self.begun, Instant::now());
         let balancer = self.at;
-        let (end, extra) = self.exchange(&command, Duration::from_millis(deadline) + GRACE, &key, write);
+        let most = Duration::from_millis(deadline) + GRACE;
+        let (end, extra, wait_ms) = self.exchange(&command, most, key, write);
         if matches!(end, End::Broken | End::NoDoor | End::Never) {
             self.stream = None;
             self.at = self.rng.random_range(0..self.doors.len());
         }
         let at = sent.duration_since(begun).as_secs_f64();
-        Asked { id, class, balancer, at, took: sent.elapsed().as_secs_f64(), end, extra }
+        Asked { id, class, balancer, at, took: sent.elapsed().as_secs_f64(), end, extra, again, wait_ms }
     }
 
-    fn exchange(&mut self, command: &[u8], most: Duration, key: &str, write: bool) -> (End, bool) {
+    fn exchange(
+        &mut self,
+        command: &[u8],
+        most: Duration,
+        key: &str,
+        write: bool,
+    ) -> (End, bool, Option<u64>) {
         // Between requests a balancer may close a connection: then the request goes once more, on a new one.
         if self.stream.as_ref().is_some_and(|(stream, _)| {
             let _ = stream.set_nonblocking(true);
@@ -188,23 +310,27 @@
         }) {
             self.stream = None;
         }
-        let Ok((stream, input)) = self.connection() else { return (End::NoDoor, false) };
+        let Ok((stream, input)) = self.connection() else { return (End::NoDoor, false, None) };
         if stream.set_read_timeout(Some(most)).is_err() || stream.write_all(command).is_err() {
-            return (End::Broken, false);
+            return (End::Broken, false, None);
         }
+        let mut wait_ms = None;
         let end = match resp::answer(input) {
             Ok(Answer::Bulk(Some(value))) => judge(&value, key, write),
             Ok(Answer::Array(parts)) => match parts.first() {
                 Some(Answer::Bulk(Some(value))) => judge(value, key, write),
                 _ => End::Failed,
             },
-            Ok(Answer::Error(text)) if text == "BUSY" || text.starts_with("BUSY ") => End::Refused,
+            Ok(Answer::Error(text)) if text == "BUSY" || text.starts_with("BUSY ") => {
+                wait_ms = text.strip_prefix("BUSY ").and_then(|ms| ms.parse().ok());
+                End::Refused
+            }
             Ok(_) => End::Failed,
             Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => End::Never,
             Err(_) => End::Broken,
         };
         // One request is out at a time: whatever else came is a second answer.
-        (end, !input.buffer().is_empty())
+        (end, !input.buffer().is_empty(), wait_ms)
     }
 }
 
--- a/crates/trials/src/stand_ins/mod.rs
+++ b/crates/trials/src/stand_ins/mod.rs
@@ -4,6 +4,7 @@
 pub mod cache;
 pub mod clients;
 pub mod discovery;
+pub mod origin;
 pub mod resp;
 
 use std::io;
--- /dev/null
+++ b/crates/trials/src/stand_ins/origin.rs
@@ -0,0 +1,100 @@
+//! The slow map store behind the caches: it takes so many fetches and writes at a time, and may be slowed while it works.
+//! Caches alone talk to it.
+
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// How the origin works.
+#[derive(Clone, Copy, Debug)]
+pub struct OriginOptions {
+    /// Fetches and writes at work at a time.
+    pub slots: usize,
+    /// What one takes.
+    pub service: Duration,
+    /// One that has waited this long for a slot fails.
+    pub patience: Duration,
+}
+
+#[derive(Default)]
+struct State {
+    at_work: usize,
+    fetches: u64,
+    failed: u64,
+    /// 1 or more; 0 stands for 1.
+    slowness: f64,
+}
+
+/// The origin; all clones are one.
+#[derive(Clone)]
+pub struct Origin {
+    options: OriginOptions,
+    state: Arc<(Mutex<State>, Condvar)>,
+}
+
+impl Origin {
+    /// An origin that works like this.
+    pub fn new(options: OriginOptions) -> Self {
+        Origin { options, state: Arc::default() }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Each fetch takes so many times as long from now on.
+    pub fn slow(&self, slowness: f64) {
+        self.state().slowness = slowness.max(1.0);
+    }
+
+    /// Fetches and writes it did, and those that waited in vain.
+    pub fn counts(&self) -> (u64, u64) {
+        let state = self.state();
+        (state.fetches, state.failed)
+    }
+
+    /// One fetch or write, from its beginning to its end; false if it waited in vain.
+    pub fn work(&self) -> bool {
+        let until = Instant::now() + self.options.patience;
+        let mut state = self.state();
+        while state.at_work >= self.options.slots {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                state.failed += 1;
+                return false;
+            }
+            state = self.state.1.wait_timeout(state, left).unwrap_or_else(PoisonError::into_inner).0;
+        }
+        state.at_work += 1;
+        state.fetches += 1;
+        let slowness = state.slowness.max(1.0);
+        drop(state);
+        std::thread::sleep(self.options.service.mul_f64(slowness));
+        self.state().at_work -= 1;
+        self.state.1.notify_one();
+        true
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn it_takes_so_many_at_a_time_and_fails_those_that_wait_in_vain() {
+        let options = OriginOptions {
+            slots: 1,
+            service: Duration::from_millis(200),
+            patience: Duration::from_millis(1),
+        };
+        let origin = Origin::new(options);
+        let other = origin.clone();
+        let first = std::thread::spawn(move || other.work());
+        while origin.counts().0 == 0 {
+            std::thread::yield_now();
+        }
+        assert!(!origin.work(), "the one slot is taken");
+        assert!(first.join().unwrap());
+        assert_eq!(origin.counts(), (1, 1));
+        assert!(origin.work());
+    }
+}
--- a/crates/trials/src/timeline.rs
+++ b/crates/trials/src/timeline.rs
@@ -1,7 +1,11 @@
 //! What happens in a trial and when, as a file tells it.
 
 use crate::faults::Faults;
+use crate::stand_ins::cache::CacheOptions;
+use crate::stand_ins::clients::Behaviour;
+use crate::stand_ins::origin::OriginOptions;
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// A scenario: what is on the ground, and its timeline.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -34,6 +38,17 @@
     /// The longest any `settles` may take, in seconds: a wide ceiling, no aim.
     #[serde(default = "ceiling")]
     pub ceiling: f64,
+    /// How the caches work.
+    #[serde(default)]
+    pub cache: CacheFigures,
+    /// The origin behind the caches, if there is one.
+    pub origin: Option<OriginFigures>,
+    /// How clients behave.
+    #[serde(default)]
+    pub clients: Behaviour,
+    /// The trouble lasts from then to then, in seconds of the timeline: what the fleet does is metered second by second
+    /// and judged before, in and after it.
+    pub trouble: Option<(f64, f64)>,
     /// The timeline, in order.
     #[serde(default, rename = "step")]
     pub steps: Vec<Step>,
@@ -43,6 +58,70 @@
     4
 }
 
+/// A cache's figures; times are in milliseconds, the warm-up in seconds.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct CacheFigures {
+    /// Requests at work at a time.
+    pub slots: usize,
+    /// Requests that wait; more are turned away.
+    pub queue: usize,
+    /// What a request takes.
+    pub service_ms: u64,
+    /// The share of its speed that a cache starts with when it comes back.
+    pub cold_from: f64,
+    /// It is warm after this.
+    pub warm_s: f64,
+}
+
+impl Default for CacheFigures {
+    fn default() -> Self {
+        CacheFigures { slots: 4, queue: 32, service_ms: 8, cold_from: 1.0, warm_s: 0.0 }
+    }
+}
+
+impl CacheFigures {
+    /// As a cache takes them: one that has been there for long, or one that has just started.
+    pub fn options(&self, cold: bool) -> CacheOptions {
+        CacheOptions {
+            slots: self.slots,
+            queue: self.queue,
+            service: Duration::from_millis(self.service_ms),
+            cold_from: if cold { self.cold_from } else { 1.0 },
+            warm_after: Duration::from_secs_f64(self.warm_s),
+            ..CacheOptions::default()
+        }
+    }
+
+    /// Requests a second that one warm cache serves.
+    pub fn room(&self) -> f64 {
+        self.slots as f64 * 1_000.0 / self.service_ms.max(1) as f64
+    }
+}
+
+/// The origin's figures; times are in milliseconds.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct OriginFigures {
+    /// Fetches and writes at a time.
+    pub slots: usize,
+    /// What one takes.
+    pub service_ms: u64,
+    /// One that has waited so long fails.
+    pub patience_ms: u64,
+}
+
+impl OriginFigures {
+    /// As the origin takes them.
+    pub fn options(&self) -> OriginOptions {
+        OriginOptions {
+            slots: self.slots,
+            service: Duration::from_millis(self.service_ms),
+            patience: Duration::from_millis(self.patience_ms),
+        }
+    }
+}
+
 fn one() -> usize {
     1
 }
@@ -73,6 +152,10 @@
     /// For links: the way back too.
     #[serde(default)]
     pub both: bool,
+    /// For `load`: requests a second from then on.
+    pub rate: Option<f64>,
+    /// For `slow-origin`: how many times as long each fetch takes from then on.
+    pub slow: Option<f64>,
     /// For `link`: what is wrong from then on.
     #[serde(default)]
     pub faults: Faults,
@@ -106,10 +189,21 @@
     Link,
     /// Links have what was wrong with them at the start.
     Heal,
+    /// Clients send so many requests a second.
+    Load,
+    /// Caches die; `members` names them. The list says so two seconds later.
+    KillCaches,
+    /// Caches come back, cold; the list says so a second later.
+    StartCaches,
+    /// The origin is slowed.
+    SlowOrigin,
     /// Nothing: for `settles` alone, or to let time pass.
     Wait,
 }
 
+/// The most requests a second: each that is out has a thread of its own.
+pub const RATE_MAX: f64 = 1_000.0;
+
 /// Reads a scenario; the error names what is wrong and where.
 pub fn read(text: &str) -> Result<Scenario, String> {
     let scenario: Scenario = toml::from_str(text).map_err(|e| e.to_string())?;
@@ -128,6 +222,12 @@
                 return wrong(key, problem);
             }
         }
+        if step.act == Act::Load && step.rate.is_none_or(|rate| !(0.0..=RATE_MAX).contains(&rate)) {
+            return wrong("rate", format!("{:?}; 0 to {RATE_MAX} requests a second are expected", step.rate));
+        }
+        if step.act == Act::SlowOrigin && step.slow.is_none_or(|slow| slow < 1.0) {
+            return wrong("slow", format!("{:?}; 1 or more is expected", step.slow));
+        }
         for (key, share) in [
             ("drop", step.faults.drop),
             ("duplicate", step.faults.duplicate),
--- a/examples/toy_server.rs
+++ b/examples/toy_server.rs
@@ -24,7 +24,7 @@
     let list = List::default();
     let options =
         CacheOptions { service: Duration::from_millis(20), fetch: Duration::ZERO, ..CacheOptions::default() };
-    let caches = (1..=CACHES).map(|n| Cache::start(&name(n), address(n), options));
+    let caches = (1..=CACHES).map(|n| Cache::start(&name(n), address(n), options, None));
     let _caches = caches.collect::<io::Result<Vec<_>>>()?;
     (1..=CACHES).for_each(|n| list.put(&name(n), Host { health: "in_service", born_ms: 0 }));
     let dial = |host: &str| (1..=CACHES).find(|n| name(*n) == host).map(address);
