Trials: a client whose wait rounds to nothing no longer spins

Seen: eight trials side by side took all cores (827 runnable threads). The wait for a client's next request went on in steps that rounded to 0 ns, up to some 700,000 of them for a request.

--- a/crates/trials/src/stand_ins/clients.rs
+++ b/crates/trials/src/stand_ins/clients.rs
@@ -177,9 +177,10 @@
                         while gone < gap && !end.load(Ordering::Relaxed) {
                             let per_s = load.get() / workers as f64;
                             let left = if per_s > 0.0 { (gap - gone) / per_s } else { 1.0 };
-                            let step = Duration::from_secs_f64(left.min(0.05));
+                            // What is shorter is over: steps that round to nothing would never end.
+                            let step = Duration::from_secs_f64(left.clamp(1e-4, 0.05));
                             next += step;
-                            gone += step.as_secs_f64() * per_s + f64::EPSILON;
+                            gone += step.as_secs_f64() * per_s;
                             std::thread::sleep(next.saturating_duration_since(Instant::now()));
                         }
                         // One that was long at work does not send all at once what it missed.
