--- a/crates/fleet/src/count.rs
+++ b/crates/fleet/src/count.rs
@@ -4,10 +4,10 @@
 //! alone, the sum of all shares would be the number of sides. So:
 //!
 //! 1. Who appears counts at once, and so does a leave that was told.
-//! 2. Who vanished untold keeps its place for [`Count::hold`].
+//! 2. Who vanished untold keeps its place for `hold`.
 //! 3. After that its place counts no more only where those who are there are more than half of all places. Of any
 //!    split only one side can be that; the others go on dividing by what they last divided by.
-//! 4. A place that was empty for [`Count::forget`] is no place any more, on either side.
+//! 4. A place that was empty for `forget` is no place any more, on either side.
 //!
 //! The sum of shares through one split that is shorter than `forget` is then at most 1.5: 1 on the larger side, under
 //! a half on all others together. Through any row of splits within `forget` it is under 1 + ln 2 = 1.7: the members that
--- a/crates/trials/src/virtual_trials.rs
+++ b/crates/trials/src/virtual_trials.rs
@@ -149,7 +149,7 @@
     pub bytes_per_s: f64,
     /// Suspicions that began at a member in an hour, of members that lived.
     pub suspicions_per_h: f64,
-    /// Deaths that were none, in all.
+    /// Deaths that were none, until the split: after it who hears late of a death in it is told of one that was.
     pub false_deaths: u64,
 }
 
@@ -178,6 +178,7 @@
     let death_s = seconds(fleet.until(CEILING, Fleet::settled));
     tenth.for_each(|n| fleet.start(n, 0));
     let back_s = seconds(fleet.until(CEILING, Fleet::settled));
+    let false_deaths = fleet.false_deaths();
     fleet.play(fleet.now + 2 * S);
     let half = move |n: usize| usize::from(n >= members / 2);
     fleet.split(half, true);
@@ -195,6 +196,6 @@
         packets_per_s: per_s(before.0, after.0),
         bytes_per_s: per_s(before.1, after.1),
         suspicions_per_h: per_s(before.2, after.2) * 3_600.0,
-        false_deaths: fleet.false_deaths(),
+        false_deaths,
     }
 }
