Trials: a scenario is put on the ground in one place, a class's deadline is told in one, counts are kept as counts

Read once more: the command and the several-process tests each made a plan of a scenario by hand, and the tests left out the origin, the caches' figures and the fleets; Plan::of serves both. The referee had the deadlines of the clients' classes once more. How requests ended went through the notes as text and was parsed again. The program is not touched.

--- a/crates/trials/src/ground.rs
+++ b/crates/trials/src/ground.rs
@@ -9,6 +9,7 @@
 use crate::stand_ins::discovery::{Discovery, Host, List};
 use crate::stand_ins::origin::{Origin, OriginOptions};
 use crate::switch::Switch;
+use crate::timeline::Scenario;
 use std::collections::HashMap;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
@@ -56,6 +57,25 @@
     pub planted: Option<String>,
 }
 
+impl Plan {
+    /// What a scenario puts on the ground.
+    pub fn of(scenario: &Scenario) -> Self {
+        Plan {
+            instances: scenario.instances,
+            caches: scenario.caches,
+            rate: scenario.rate,
+            fleets: scenario.fleets,
+            fleet_keys: scenario.fleet.clone(),
+            cache: scenario.cache.options(false),
+            cold: scenario.cache.options(true),
+            origin: scenario.origin.map(|origin| origin.options()),
+            clients: scenario.clients,
+            rate_most: scenario.steps.iter().filter_map(|step| step.rate).fold(0.0, f64::max),
+            ..Plan::default()
+        }
+    }
+}
+
 impl Default for Plan {
     fn default() -> Self {
         Plan {
--- a/crates/trials/src/main.rs
+++ b/crates/trials/src/main.rs
@@ -200,19 +200,14 @@
     let scenario = scenarios::find(name)?;
     let mut reports = Vec::new();
     for seed in seed..seed + repeat {
+        let of = Plan::of(&scenario);
         let plan = Plan {
-            instances: instances.unwrap_or(scenario.instances),
-            caches: scenario.caches,
-            rate: scenario.rate,
-            fleets: scenario.fleets,
-            fleet_keys: scenario.fleet.clone(),
-            cache: scenario.cache.options(false),
-            cold: scenario.cache.options(true),
-            origin: scenario.origin.map(|origin| origin.options()),
-            clients: scenario.clients,
-            rate_most: scenario.steps.iter().filter_map(|step| step.rate).fold(0.0, f64::max),
+            instances: instances.unwrap_or(of.instances),
             seed,
-            ..plan.clone()
+            program: plan.program.clone(),
+            fleet: plan.fleet,
+            planted: plan.planted.clone(),
+            ..of
         };
         let report = play(&scenario, plan, interrupted)?;
         println!("{} with {} instances, seed {seed}", scenario.name, report.instances);
--- a/crates/trials/src/play.rs
+++ b/crates/trials/src/play.rs
@@ -77,6 +77,7 @@
     scenario: &'a Scenario,
     done: Vec<(f64, String)>,
     settled: BTreeMap<String, f64>,
+    requests: BTreeMap<String, usize>,
     interrupted: &'a AtomicBool,
     /// The start of the timeline.
     begun: Instant,
@@ -98,6 +99,7 @@
         scenario,
         done,
         settled,
+        requests: BTreeMap::new(),
         interrupted,
         begun: Instant::now(),
         samples: Vec::new(),
@@ -152,18 +154,11 @@
         let (at, asked) = (self.now(), self.ground.stop_clients());
         self.referee.caches(at, &self.ground);
         self.referee.false_deaths(&self.ground);
-        let ends = self.referee.clients(&asked);
+        self.requests = self.referee.clients(&asked);
         self.judge(&asked, offset);
-        self.settled_requests(ends);
         Ok(())
     }
 
-    fn settled_requests(&mut self, ends: BTreeMap<String, usize>) {
-        for (end, count) in ends {
-            self.done.push((self.now(), format!("requests {end}: {count}")));
-        }
-    }
-
     /// Once a second: what the fleet did so far.
     fn sample(&mut self) {
         let at = self.begun.elapsed().as_secs_f64();
@@ -352,7 +347,7 @@
         }
     }
 
-    fn report(mut self) -> Report {
+    fn report(self) -> Report {
         let mut member: BTreeMap<String, f64> = BTreeMap::new();
         let views: Vec<_> = self.ground.views().into_iter().flatten().collect();
         let mean = |of: Vec<f64>| of.iter().sum::<f64>() / of.len().max(1) as f64;
@@ -362,14 +357,6 @@
         }
         let memory = self.ground.members.iter().filter_map(|m| m.memory()).map(|b| b as f64).collect();
         member.insert("memory".into(), mean(memory));
-        let mut requests = BTreeMap::new();
-        self.done.retain(|(_, what)| match what.strip_prefix("requests ").and_then(|t| t.split_once(": ")) {
-            Some((end, count)) => {
-                requests.insert(end.to_string(), count.parse().unwrap_or(0));
-                false
-            }
-            None => true,
-        });
         let (failures, failed) = self.referee.failures();
         Report {
             scenario: self.scenario.name.clone(),
@@ -379,7 +366,7 @@
             settled: self.settled,
             shares_most: self.referee.shares,
             false_deaths: failures.iter().filter(|f| f.invariant == "false-death").count(),
-            requests,
+            requests: self.requests,
             datagrams: self.ground.datagrams(),
             seconds: self.seconds,
             spans: self.spans,
--- a/crates/trials/src/referee.rs
+++ b/crates/trials/src/referee.rs
@@ -2,7 +2,7 @@
 
 use crate::ground::Ground;
 use crate::member::{Meant, View};
-use crate::stand_ins::clients::{Asked, End};
+use crate::stand_ins::clients::{Asked, End, deadline};
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap};
 
@@ -214,13 +214,8 @@
                 self.fail(one.at, "true-answer", what());
             }
             let away = near(self.away.get(&one.balancer), one.at - 1.0, one.at + one.took);
-            let deadline = match one.class {
-                "tile-read" => 0.6,
-                "status-set" => 1.0,
-                _ => 2.5,
-            };
             let answered = matches!(one.end, End::Served | End::Refused | End::Failed);
-            if answered && one.took > deadline + SLACK && !away {
+            if answered && one.took > deadline(one.class) + SLACK && !away {
                 *ends.entry("late".into()).or_default() += 1;
             }
             if matches!(one.end, End::Never | End::Broken | End::NoDoor) && !away {
--- a/crates/trials/src/stand_ins/clients.rs
+++ b/crates/trials/src/stand_ins/clients.rs
@@ -67,6 +67,12 @@
     ("map-publish", 0.05, 2_500, true, false),
 ];
 
+/// How long a client of this class waits, in seconds; 0 of one that is not asked for.
+pub fn deadline(class: &str) -> f64 {
+    let found = CLASSES.iter().find(|(name, ..)| *name == class);
+    found.map_or(0.0, |(_, _, ms, ..)| *ms as f64 / 1e3)
+}
+
 /// How clients behave.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/trials/tests/processes.rs
+++ b/crates/trials/tests/processes.rs
@@ -16,7 +16,7 @@
 fn trial(name: &str) -> Report {
     let _one = ONE.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
     let scenario = scenarios::find(name).unwrap();
-    let plan = Plan { instances: 6, rate: 20.0, fleet_keys: scenario.fleet.clone(), ..Plan::default() };
+    let plan = Plan { instances: 6, rate: 20.0, ..Plan::of(&scenario) };
     let report = play(&scenario, plan, &AtomicBool::new(false)).unwrap();
     assert_eq!(report.failed, 0, "{}\n{:#?}", report.verdict(), report.failures);
     assert!(report.requests.get("served").is_some_and(|served| *served > 0), "{:?}", report.requests);
