Members compare lists; a draw of watchers no longer puts suspicions off

Seen: 30 of 300 that return at once were known to all after 12 to 20 s (virtual time, 2.2 s at 100); a death at 40 real processes took 2.7 s in the median, up to 3.2 s; a joint start of 40 now and then 2.7 s.

And one of ten killed was suspect 0.7 s after the others at watchers that had been drawn late: each draw of watchers (member by member as others became suspect) dropped and entered anew whoever was not suspect yet, so its silence began at 0.5 s again (`Watch::draw`, the `retain` by `held` alone). Ruled out: the machine (it was so with it idle), deaths of all watchers (others were alive).

Change: `compare`: sums of the list in 32 parts, one random member asked each 50 ms while lists differ and each 2 s else, the parts that differ told both ways; in place of announcing to three unknown members each 100 ms. Records asked for are answered in up to three datagrams. A death is passed on at once. The draw keeps the silence that was counted.

--- a/crates/fleet/src/envelope.rs
+++ b/crates/fleet/src/envelope.rs
@@ -36,6 +36,10 @@
     Ask = 4,
     /// A word for the watchers.
     Beat = 5,
+    /// A list of members, summed up.
+    Compare = 6,
+    /// What is held where two lists differ.
+    Told = 7,
 }
 
 /// Why a datagram is dropped unread.
@@ -93,6 +97,8 @@
         3 => Kind::Want,
         4 => Kind::Ask,
         5 => Kind::Beat,
+        6 => Kind::Compare,
+        7 => Kind::Told,
         _ => return Err(Refusal::Version),
     };
     Ok((kind, &whole[HEAD..]))
--- a/crates/fleet/src/identity.rs
+++ b/crates/fleet/src/identity.rs
@@ -44,6 +44,10 @@
     pub(crate) fn get(&self) -> u64 {
         self.0.get()
     }
+
+    pub(crate) fn note(&self, generation: u64) {
+        self.0.set(self.0.get().max(generation));
+    }
 }
 
 /// The addresses that the membership holds. What a datagram says of others is left once there are enough of them.
@@ -66,7 +70,7 @@
     }
 
     /// A place for this address, if there is one.
-    fn admit(&self, address: SocketAddr, most: usize) -> Result<(), ()> {
+    pub(crate) fn admit(&self, address: SocketAddr, most: usize) -> Result<(), ()> {
         let mut held = self.0.borrow_mut();
         if held.contains(&address) || held.len() < most {
             held.insert(address);
@@ -94,7 +98,7 @@
 
     fn note(&self, id: &Identity) {
         if id.address == self.own {
-            self.named.0.set(self.named.0.get().max(id.generation));
+            self.named.note(id.generation);
         }
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`watch`]: who listens for whom, and when silence becomes a suspicion;
 //! - [`suspicion`]: when a suspect is given up, and by whom;
 //! - [`health`]: when a member distrusts itself and accuses nobody;
+//! - [`compare`]: what rumours have missed is found by comparing lists;
 //! - [`records`]: soft state of bounded size, spread and asked for;
 //! - [`count`]: how many balancers the rest is shared among, through splits and deaths.
 //!
@@ -16,6 +17,7 @@
 //! the talk belongs on a network that is trusted.
 #![forbid(unsafe_code)]
 
+pub mod compare;
 pub mod count;
 pub mod envelope;
 pub mod health;
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -1,7 +1,9 @@
 //! One member: datagrams and time in; datagrams, wake-ups and changes of the view out.
 
+mod agree;
 mod table;
 
+use crate::compare::{Pace, Sums};
 use crate::count::Count;
 use crate::envelope::{self, Kind, Refusal};
 use crate::health::Health;
@@ -26,6 +28,8 @@
 /// News is passed on this often, to so many members.
 const GOSSIP: Nanos = 100 * MS;
 const GOSSIP_TO: usize = 3;
+/// A death is passed on at once, yet at most this often.
+const PASS_ON: Nanos = 20 * MS;
 /// Records that are no news are told once more this often, to one member.
 const ROUND: Nanos = 500 * MS;
 /// Members believed dead are asked this often, so many at a time: a healed split settles by it.
@@ -68,6 +72,8 @@
     pub full: u64,
     /// Questions to suspects.
     pub asked: u64,
+    /// Questions whether another holds the same.
+    pub compared: u64,
     /// Suspicions that began, and suspects given up.
     pub suspicions: u64,
     pub given_up: u64,
@@ -133,8 +139,12 @@
     rng: Xoshiro256PlusPlus,
     gossip: Nanos,
     round: Nanos,
-    /// Who is told of and not known is asked from then on.
-    ask_unknown: Nanos,
+    /// What it holds, summed up at the last look.
+    sums: Sums,
+    pace: Pace,
+    /// A death came in: it is passed on at once, from then on.
+    pass_on: Option<Nanos>,
+    passed_on: Nanos,
     join: (Nanos, Nanos),
     leapt: Nanos,
     due: Nanos,
@@ -199,7 +209,10 @@
             rng,
             gossip: now,
             round: now,
-            ask_unknown: now,
+            sums: Sums::default(),
+            pace: Pace::new(now),
+            pass_on: None,
+            passed_on: 0,
             // All of a fleet that start at once don't ask in step.
             join: (now + spread, JOIN_FIRST),
             leapt: 0,
@@ -324,12 +337,14 @@
             Kind::Swim => self.take_swim(from, payload),
             Kind::Records => self.take_records(payload),
             Kind::Want => match self.records.answer(payload) {
-                Some(answer) => {
-                    self.send(from, Kind::Records, &answer);
+                Some(answers) => {
+                    answers.iter().for_each(|answer| self.send(from, Kind::Records, answer));
                     true
                 }
                 None => false,
             },
+            Kind::Compare => self.take_compare(from, payload),
+            Kind::Told => self.take_told(from, payload),
             Kind::Ask => self.take_ask(payload),
             // That it came is all it says.
             Kind::Beat => postcard::from_bytes::<Identity>(payload).is_ok(),
@@ -426,13 +441,8 @@
         };
         let taken = self.records.take(self.settings.address, payload, known, swim.num_members());
         let Some(unknown) = taken else { return false };
-        if !unknown.is_empty() && self.now >= self.ask_unknown && !planted::is(Fault::TellsRecordsOnce) {
-            self.ask_unknown = self.now + GOSSIP;
-            let mut runtime = Runtime::default();
-            for id in unknown.into_iter().take(GOSSIP_TO) {
-                let _ = self.swim.announce(id, &mut runtime);
-            }
-            self.carry_out(runtime);
+        if !unknown.is_empty() {
+            self.pace.stir(self.now);
         }
         true
     }
@@ -474,10 +484,13 @@
         self.swim_timers();
         self.listen();
         self.join();
+        self.pass_on();
         self.spread();
         self.look();
+        self.compare();
         let next = self.timers.first_key_value().map_or(Nanos::MAX, |((at, _), _)| *at);
-        self.due = next.clamp(self.now + MS, self.now + TURN);
+        let pass_on = self.pass_on.unwrap_or(Nanos::MAX);
+        self.due = next.min(pass_on).clamp(self.now + MS, self.now + TURN);
         self.health.expect(self.due);
     }
 
@@ -605,6 +618,17 @@
         }
     }
 
+    /// Passes a death on without waiting for the next round of gossip.
+    fn pass_on(&mut self) {
+        if self.pass_on.is_none_or(|at| self.now < at) {
+            return;
+        }
+        (self.pass_on, self.passed_on) = (None, self.now);
+        let mut runtime = Runtime::default();
+        let _ = self.swim.gossip(&mut runtime);
+        self.carry_out(runtime);
+    }
+
     /// Passes records on.
     fn spread(&mut self) {
         let others: Vec<Identity> = self.swim.iter_members().map(|m| *m.id()).collect();
@@ -649,6 +673,11 @@
             self.heard.retain(|address, _| table.knows(address));
             let own = self.settings.address;
             self.records.retain(|address| address == own || table.knows(&address));
+            let sums = Sums::of(self.entries().into_iter());
+            if sums != self.sums {
+                self.sums = sums;
+                self.pace.stir(self.now);
+            }
         }
     }
 
@@ -689,8 +718,14 @@
             self.timers.insert((self.now + after.as_nanos() as Nanos, self.set), timer);
         }
         for news in runtime.news {
-            if let OwnedNotification::Rejoin(_) = news {
-                self.returned();
+            match news {
+                OwnedNotification::Rejoin(_) => self.returned(),
+                OwnedNotification::MemberDown(_) => {
+                    let at = self.now.max(self.passed_on + PASS_ON);
+                    self.pass_on.get_or_insert(at);
+                    self.due = self.due.min(at + MS);
+                }
+                _ => {}
             }
         }
     }
--- a/crates/fleet/src/records.rs
+++ b/crates/fleet/src/records.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// The longest name that is told, in bytes.
 pub const NAME_MAX: usize = 32;
@@ -16,6 +17,8 @@
 const RUMOURS: u32 = 3;
 /// The most members asked for in one datagram; as many as an answer or two hold.
 pub const WANT_MAX: usize = 24;
+/// In so many datagrams at most they are answered.
+const ANSWERS: usize = 3;
 /// Missing records are asked for this often.
 pub const WANT_EVERY: Nanos = 150 * MS;
 
@@ -90,6 +93,17 @@
 struct Held {
     record: Record,
     rumours: u32,
+    /// Of what all should know soon; never 0.
+    sum: u32,
+}
+
+impl Held {
+    fn new(record: Record, rumours: u32) -> Self {
+        let soft = &record.soft;
+        let told = (soft.phase, soft.door, soft.config, &soft.name, &soft.build, &soft.extra);
+        let sum = postcard::to_stdvec(&told).map_or(0, |bytes| xxh3_64(&bytes) as u32);
+        Held { record, rumours, sum: sum.max(1) }
+    }
 }
 
 /// The records that one member holds, its own included.
@@ -112,7 +126,7 @@
     /// The member's own record alone.
     pub fn new(own: Record) -> Self {
         let mut held = BTreeMap::new();
-        held.insert(own.of.address, Held { record: own, rumours: RUMOURS });
+        held.insert(own.of.address, Held::new(own, RUMOURS));
         Records { held, round: None, wanted: 0, changes: 0 }
     }
 
@@ -122,6 +136,12 @@
         (record.of.generation >= id.generation).then_some(record)
     }
 
+    /// A checksum of what a member said last of what all should know soon, of this life of its; 0 if nothing is known.
+    pub fn sum(&self, id: &Identity) -> u32 {
+        let held = self.held.get(&id.address).filter(|held| held.record.of.generation >= id.generation);
+        held.map_or(0, |held| held.sum)
+    }
+
     /// Puts the member's own record; it is news.
     pub fn put(&mut self, record: Record, members: usize) {
         self.insert(record, members);
@@ -133,7 +153,7 @@
         let urgent = record.is_urgent(former.map(|held| &held.record));
         // A rumour that still runs goes on with the newer word.
         let rumours = if urgent { rumours(members) } else { former.map_or(0, |held| held.rumours) };
-        self.held.insert(record.of.address, Held { record, rumours });
+        self.held.insert(record.of.address, Held::new(record, rumours));
     }
 
     /// Differs after each change of any record.
@@ -216,13 +236,22 @@
         payload
     }
 
-    /// The records that another asks for, as far as one datagram holds them.
-    pub fn answer(&self, payload: &[u8]) -> Option<Vec<u8>> {
-        let wanted: Vec<SocketAddr> = postcard::from_bytes(payload).ok()?;
+    /// The records that another asks for, as far as so many datagrams hold them.
+    pub fn answer(&self, payload: &[u8]) -> Option<Vec<Vec<u8>>> {
+        let mut wanted: Vec<SocketAddr> = postcard::from_bytes(payload).ok()?;
         if wanted.len() > WANT_MAX {
             return None;
         }
-        Some(self.pack(wanted).0)
+        let mut answers = Vec::new();
+        while answers.len() < ANSWERS && !wanted.is_empty() {
+            let (payload, told) = self.pack(wanted.clone());
+            if told.is_empty() {
+                break;
+            }
+            wanted.retain(|address| !told.contains(address));
+            answers.push(payload);
+        }
+        Some(answers)
     }
 
     /// Whom to ask for, if it is time: living members that have said nothing of themselves yet.
@@ -350,7 +379,7 @@
         let want = mine.want(WANT_EVERY, living.iter()).unwrap();
         assert_eq!(mine.want(WANT_EVERY + 1, living.iter()), None, "not so often");
         let answer = theirs.answer(&want).unwrap();
-        assert_eq!(mine.take(own(), &answer, |_| Some(1), 2), Some(Vec::new()));
+        assert_eq!(mine.take(own(), &answer[0], |_| Some(1), 2), Some(Vec::new()));
         assert!(mine.of(&living[0]).is_some());
         theirs.put(record(2, 1, 2), 2);
         let many: Vec<SocketAddr> = (0..=WANT_MAX as u16).map(|n| record(n, 1, 1).of.address).collect();
--- a/crates/fleet/src/watch.rs
+++ b/crates/fleet/src/watch.rs
@@ -85,8 +85,9 @@
             numbers.iter().zip(living).map(|(n, a)| (weight(*n, own), *a)).collect();
         all.sort_unstable_by(|a, b| b.cmp(a));
         self.watchers = all.into_iter().take(WATCHERS).map(|(_, a)| a).collect();
-        // Who is suspect is listened for as before, until it is given up or refutes.
-        self.watched.retain(|address, _| held(*address));
+        // Who is suspect is listened for as before, until it is given up or refutes; who is not keeps the silence that
+        // has been counted, or each draw during a mass death would put the others' suspicions off.
+        self.watched.retain(|address, _| held(*address) || living.binary_search(address).is_ok());
         for (i, address) in living.iter().enumerate() {
             let mine = weight(own, numbers[i]);
             let heavier = |(j, n): (usize, &u64)| j != i && weight(*n, numbers[i]) > mine;
@@ -186,6 +187,20 @@
         assert_eq!(watchers_of(&all(&[1, 2, 3]), 3), [at(1), at(2)], "where they are few all watch");
     }
 
+    #[test]
+    fn a_draw_for_the_sake_of_others_leaves_the_silence_that_was_counted() {
+        let mut mine = Watch::new(at(1));
+        let living: Vec<SocketAddr> = (2..=6).map(at).collect();
+        mine.draw(QUIET, &living, |_| false);
+        // All are silent from 500 ms on; some are suspect for others already, and gone from the draw.
+        for (now, gone) in [(900, 2), (1_250, 3)] {
+            mine.draw(now * MS, &living[gone..], |_| false);
+        }
+        let steps = mine.due(1_401 * MS, 1, true, |_| 500 * MS);
+        assert!(steps.contains(&Step::Suspect(at(6))), "{steps:?}");
+        assert!(!steps.contains(&Step::Suspect(at(2))), "gone from the draw, and no suspect of this one");
+    }
+
     #[test]
     fn a_silent_member_is_asked_then_suspected_once_and_a_word_ends_it() {
         let mut mine = Watch::new(at(1));
--- a/crates/trials/src/ground.rs
+++ b/crates/trials/src/ground.rs
@@ -55,6 +55,8 @@
     pub fleet_keys: serde_json::Map<String, serde_json::Value>,
     /// A mistake that is planted in each process, where the program was built with them.
     pub planted: Option<String>,
+    /// Where the members' log lines are written, in the order in which they came.
+    pub logs: Option<PathBuf>,
 }
 
 impl Plan {
@@ -94,6 +96,7 @@
             program: None,
             fleet_keys: serde_json::Map::new(),
             planted: None,
+            logs: None,
         }
     }
 }
--- a/crates/trials/src/main.rs
+++ b/crates/trials/src/main.rs
@@ -1,6 +1,7 @@
 //! Plays trials from the command line; the last line is the verdict.
 
 use clap::{Parser, Subcommand};
+use pipitrun_fleet::MS;
 use pipitrun_trials::ground::Plan;
 use pipitrun_trials::play::{Report, play};
 use pipitrun_trials::{chart, mutations, scenarios, virtual_trials};
@@ -41,6 +42,9 @@
         /// Without the key `fleet`: what the members did before they had a view.
         #[arg(long)]
         no_fleet: bool,
+        /// Where the members' log lines are written, one file for each play.
+        #[arg(long)]
+        logs: Option<PathBuf>,
         /// A mistake to plant; the program must have been built with the feature `planted`.
         #[arg(long)]
         planted: Option<String>,
@@ -62,6 +66,24 @@
         #[arg(long, default_value_t = 30)]
         calm: u64,
     },
+    /// What is untrue in how many pairs of members, step by step, in virtual time: for tracing what `measure` shows.
+    Course {
+        /// Members.
+        #[arg(long, default_value_t = 100)]
+        members: usize,
+        /// The share of datagrams that is lost.
+        #[arg(long, default_value_t = 0.0)]
+        loss: f64,
+        /// For all that is drawn.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// A line each so often; in milliseconds.
+        #[arg(long, default_value_t = 200)]
+        every: u64,
+        /// A step that has not settled is ended after this; in seconds.
+        #[arg(long, default_value_t = 60)]
+        most: u64,
+    },
     /// The greatest sum of shares through splits in virtual time, by the rule and without it.
     Shares {
         /// Members.
@@ -100,11 +122,16 @@
     let result = match Arguments::parse().command {
         Command::List => list(),
         Command::Measure { members, loss, seeds, calm } => measure(&members, &loss, seeds, calm),
+        Command::Course { members, loss, seed, every, most } => {
+            let span = (every.max(1) * MS, most * 1_000 * MS);
+            virtual_trials::course(members, loss, seed, span, |line| println!("{line}"));
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Shares { members, seeds } => shares(members, seeds),
         Command::Chart { reports, measured, out } => chart(&reports, measured, &out),
         Command::Mutations { program } => mutations(program),
-        Command::Run { scenario, instances, seed, repeat, out, program, no_fleet, planted } => {
-            let plan = Plan { program, fleet: !no_fleet, planted, ..Plan::default() };
+        Command::Run { scenario, instances, seed, repeat, out, program, no_fleet, logs, planted } => {
+            let plan = Plan { program, fleet: !no_fleet, logs, planted, ..Plan::default() };
             run(&scenario, instances, (seed, repeat), out, &plan, &interrupted)
         }
     };
@@ -207,6 +234,7 @@
             program: plan.program.clone(),
             fleet: plan.fleet,
             planted: plan.planted.clone(),
+            logs: plan.logs.clone(),
             ..of
         };
         let report = play(&scenario, plan, interrupted)?;
--- a/crates/trials/src/play.rs
+++ b/crates/trials/src/play.rs
@@ -8,6 +8,7 @@
 use crate::timeline::{Act, Scenario, Step, members};
 use serde::Serialize;
 use std::collections::BTreeMap;
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -108,11 +109,32 @@
         spans: BTreeMap::new(),
         recovered_s: None,
     };
-    play.run()?;
+    let played = play.run();
+    if let Some(folder) = &play.ground.plan.logs {
+        play.write_logs(folder)?;
+    }
+    played?;
     Ok(play.report())
 }
 
 impl Play<'_> {
+    /// What all members logged, by the time at which it came.
+    fn write_logs(&self, folder: &Path) -> Result<(), String> {
+        let mut lines: Vec<(f64, String)> = Vec::new();
+        for member in &self.ground.members {
+            let of = |line: crate::member::Line| (line.at, format!("{} {}", member.spec.name, line.text));
+            lines.extend(member.log().into_iter().map(of));
+        }
+        lines.extend(self.done.iter().map(|(at, what)| (*at, format!("TRIAL {what}"))));
+        lines.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let text: String = lines.iter().map(|(at, text)| format!("{at:8.3} {text}\n")).collect();
+        let plan = &self.ground.plan;
+        let file = folder.join(format!("{}-{}-{}.log", self.scenario.name, plan.instances, plan.seed));
+        std::fs::create_dir_all(folder)
+            .and_then(|()| std::fs::write(&file, text))
+            .map_err(|e| format!("{}: {e}", file.display()))
+    }
+
     fn now(&self) -> f64 {
         self.ground.begun.elapsed().as_secs_f64()
     }
--- a/crates/trials/src/virtual_time.rs
+++ b/crates/trials/src/virtual_time.rs
@@ -340,6 +340,34 @@
         })
     }
 
+    /// How many pairs of members are not yet true, by what one holds of the other wrongly.
+    pub fn untrue(&self) -> BTreeMap<&'static str, usize> {
+        let mut all = BTreeMap::new();
+        for n in self.running() {
+            let Some(member) = &self.places[n].member else { continue };
+            let seen: HashMap<SocketAddr, &pipitrun_fleet::Seen> =
+                member.seen().map(|seen| (seen.id.address, seen)).collect();
+            for (m, place) in self.places.iter().enumerate().filter(|(m, _)| *m != n) {
+                let what = match (&place.member, seen.get(&address(m))) {
+                    (Some(_), None) => "not known",
+                    (None, Some(seen)) if seen.state.is_there() => "death not known",
+                    (Some(member), Some(seen)) if seen.id != member.id() && seen.state.is_there() => {
+                        "older life taken for there"
+                    }
+                    (Some(member), Some(seen)) if seen.id != member.id() => "older life known dead",
+                    (Some(_), Some(seen)) if seen.soft.is_none() => "record not known",
+                    (Some(_), Some(seen)) if seen.state == State::Serving => continue,
+                    (Some(_), Some(seen)) if seen.state == State::Stalled => "suspect",
+                    (Some(_), Some(seen)) if seen.state.is_there() => "record too old",
+                    (Some(_), Some(_)) => "taken for dead",
+                    (None, _) => continue,
+                };
+                *all.entry(what).or_default() += 1;
+            }
+        }
+        all
+    }
+
     /// Plays until this holds, at most for so long; how long it took.
     pub fn until(&mut self, most: Nanos, holds: impl Fn(&Fleet) -> bool) -> Option<Nanos> {
         let begun = self.now;
--- a/crates/trials/src/virtual_trials.rs
+++ b/crates/trials/src/virtual_trials.rs
@@ -199,3 +199,35 @@
         false_deaths,
     }
 }
+
+/// The course of what `measure` plays, for tracing: what is untrue in how many pairs of members, each `every` until all is
+/// true, at most for `most`.
+pub fn course(
+    members: usize,
+    loss: f64,
+    seed: u64,
+    (every, most): (Nanos, Nanos),
+    mut tell: impl FnMut(&str),
+) {
+    let mut fleet = Fleet::new(members, 3, seed);
+    fleet.network.loss = loss;
+    let mut step = |fleet: &mut Fleet, what: &str| {
+        let begun = fleet.now;
+        while fleet.now - begun < most {
+            fleet.play(fleet.now + every);
+            let untrue = fleet.untrue();
+            tell(&format!("{what} {:6.2} s {untrue:?}", ((fleet.now - begun) / MS) as f64 / 1e3));
+            if fleet.settled() {
+                break;
+            }
+        }
+    };
+    fleet.start_all();
+    step(&mut fleet, "join");
+    fleet.play(fleet.now + 8 * S);
+    let tenth = members - members.div_ceil(10)..members;
+    tenth.clone().for_each(|n| fleet.kill(n));
+    step(&mut fleet, "death");
+    tenth.for_each(|n| fleet.start(n, 0));
+    step(&mut fleet, "back");
+}
--- a/crates/trials/tests/virtual_time.rs
+++ b/crates/trials/tests/virtual_time.rs
@@ -38,6 +38,24 @@
     }
 }
 
+/// A rumour dies out now and then before it has reached all of so many: who is missed is found by comparing lists.
+#[test]
+fn many_that_return_at_once_to_a_hundred_are_known_to_all_soon() {
+    for seed in 1..4 {
+        let mut fleet = settled(100, seed, Network::default());
+        (90..100).for_each(|n| fleet.kill(n));
+        fleet.until(60 * S, Fleet::settled).expect("the death is known");
+        (90..100).for_each(|n| fleet.start(n, 0));
+        let back = fleet.until(60 * S, Fleet::settled).expect("they are back");
+        assert!(back <= S, "seed {seed}: {back}; 2.2 s and more where rumours alone tell of them");
+        fleet.play(fleet.now + 20 * S);
+        let (before, calm) = (fleet.traffic(3).compared, 10);
+        fleet.play(fleet.now + calm * S);
+        let asked = fleet.traffic(3).compared - before;
+        assert!(asked <= calm, "{asked} questions in {calm} calm seconds");
+    }
+}
+
 #[test]
 fn a_split_settles_on_both_sides_and_heals_and_shares_keep_their_sum() {
     for seed in 0..5 {
@@ -139,7 +157,7 @@
     let fleets = [pipitrun_fleet::envelope::fleet_number("trial"), 7];
     let kinds = {
         use pipitrun_fleet::envelope::Kind::*;
-        [Swim, Records, Want, Ask, Beat]
+        [Swim, Records, Want, Ask, Beat, Compare, Told]
     };
     for round in 0..rounds {
         let length = rng.random_range(0..1_500);
@@ -147,7 +165,7 @@
         if round % 2 == 0 {
             // A whole frame with anything in it.
             bytes.truncate(pipitrun_fleet::envelope::PAYLOAD_MAX);
-            bytes = pipitrun_fleet::envelope::seal(fleets[round / 2 % 2], kinds[round / 4 % 5], &bytes);
+            bytes = pipitrun_fleet::envelope::seal(fleets[round / 2 % 2], kinds[round / 4 % 7], &bytes);
         }
         fleet.inject(0, address(9), &bytes);
         if round % 500 == 0 {
