--- a/crates/finchyard/src/api.rs
+++ b/crates/finchyard/src/api.rs
@@ -398,7 +398,8 @@
 pub struct Tally {
     /// Requests let in, by rung (see [`Allowance::level`]).
     pub let_in: [u32; RUNGS_COUNTED],
-    /// Requests turned away after that, for want of room at the caches.
+    /// Those that were turned away after that, for want of room at the caches. Late answers are not among them: they tell of
+    /// what was let in a second ago, and the level swung by them.
     pub short: u32,
 }
 
--- a/crates/fleet/src/compare.rs
+++ b/crates/fleet/src/compare.rs
@@ -9,7 +9,7 @@
 use crate::envelope::PAYLOAD_MAX;
 use crate::{Identity, MS, Nanos};
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Into so many parts a list is summed up; a part of a thousand members fits into one datagram.
@@ -40,9 +40,20 @@
 /// The longest that an entry gets on the wire: an address of IPv6, numbers of full length.
 const ENTRY_MAX: usize = 20 + 10 + 3 + 1 + 5;
 
+/// An address as bytes, the same length for all; a text of it would cost more than all else here.
+fn bytes_of(address: SocketAddr) -> [u8; 18] {
+    let mut bytes = [0; 18];
+    match address.ip() {
+        IpAddr::V4(ip) => bytes[..4].copy_from_slice(&ip.octets()),
+        IpAddr::V6(ip) => bytes[..16].copy_from_slice(&ip.octets()),
+    }
+    bytes[16..].copy_from_slice(&address.port().to_le_bytes());
+    bytes
+}
+
 /// The part that an address is in.
 pub fn bucket(address: SocketAddr) -> usize {
-    xxh3_64(address.to_string().as_bytes()) as usize % BUCKETS
+    xxh3_64(&bytes_of(address)) as usize % BUCKETS
 }
 
 /// A list, summed up.
@@ -54,9 +65,10 @@
     pub fn of(entries: impl Iterator<Item = Entry>) -> Self {
         let mut sums = Sums::default();
         for entry in entries.filter(|entry| !entry.down) {
-            let mut bytes = entry.id.address.to_string().into_bytes();
-            bytes.extend(entry.id.generation.to_le_bytes());
-            bytes.extend(entry.record.to_le_bytes());
+            let mut bytes = [0; 30];
+            bytes[..18].copy_from_slice(&bytes_of(entry.id.address));
+            bytes[18..26].copy_from_slice(&entry.id.generation.to_le_bytes());
+            bytes[26..].copy_from_slice(&entry.record.to_le_bytes());
             sums.0[bucket(entry.id.address)] ^= xxh3_64(&bytes) as u32;
         }
         sums
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -75,6 +75,8 @@
     pub asked: u64,
     /// Questions whether another holds the same.
     pub compared: u64,
+    /// Words of load sent.
+    pub load: u64,
     /// Suspicions that began, and suspects given up.
     pub suspicions: u64,
     pub given_up: u64,
--- a/crates/fleet/src/member/agree.rs
+++ b/crates/fleet/src/member/agree.rs
@@ -151,6 +151,7 @@
         let others: Vec<SocketAddr> = self.swim.iter_members().map(|m| m.id().address).collect();
         for _ in 0..GOSSIP_TO.min(others.len()) {
             let to = others[self.rng.random_range(0..others.len())];
+            self.traffic.load += 1;
             self.send(to, Kind::Load, &words);
         }
     }
--- a/crates/pipitrun/src/fleet.rs
+++ b/crates/pipitrun/src/fleet.rs
@@ -293,7 +293,7 @@
         write!(
             f,
             " sent={} sent_bytes={} heard={} heard_bytes={} unsent={} torn={} foreign={} version={} malformed={} \
-             full={} asked={} suspicions={} given_up={} refuted={} returned={} gaps={}",
+             full={} asked={} suspicions={} given_up={} refuted={} returned={} gaps={} compared={} load={} level={:.2}",
             t.sent,
             t.sent_bytes,
             t.heard,
@@ -309,7 +309,10 @@
             t.given_up,
             t.refuted,
             t.returned,
-            t.gaps
+            t.gaps,
+            t.compared,
+            t.load,
+            self.member.level()
         )
     }
 }
--- a/crates/trials/src/member.rs
+++ b/crates/trials/src/member.rs
@@ -65,6 +65,8 @@
     pub living: usize,
     /// It hears nobody.
     pub cut_off: bool,
+    /// The level that load is shed by.
+    pub level: f64,
     /// The others.
     pub members: Vec<Other>,
     /// Its counts.
--- /dev/null
+++ b/crates/trials/tests/shedding.rs
@@ -0,0 +1,144 @@
+//! Several processes that shed load by one level (`fleet.shed_together`), with faults between them. What holds is waited
+//! for, up to wide ceilings; how well and how fast is measured elsewhere.
+
+use pipitrun_trials::faults::Faults;
+use pipitrun_trials::ground::{Ground, Plan};
+use pipitrun_trials::stand_ins::cache::CacheOptions;
+use pipitrun_trials::stand_ins::clients::{Asked, End};
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// One trial at a time: they are many processes each, and CI has few cores.
+static ONE: Mutex<()> = Mutex::new(());
+
+const PATIENCE: Duration = Duration::from_secs(60);
+const MEMBERS: usize = 4;
+const CALM: f64 = 12.0;
+/// Some four times what two caches serve.
+const STORM: f64 = 200.0;
+
+fn one() -> MutexGuard<'static, ()> {
+    ONE.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn ground(shed_together: bool) -> Ground {
+    let mut keys = serde_json::Map::new();
+    if shed_together {
+        keys.insert("shed_together".into(), true.into());
+    }
+    let service = Duration::from_millis(40);
+    let cache =
+        CacheOptions { slots: 1, queue: 8, service, fetch: Duration::ZERO, ..CacheOptions::default() };
+    let plan = Plan {
+        instances: MEMBERS,
+        caches: 2,
+        cache,
+        rate: CALM,
+        rate_most: STORM,
+        fleet_keys: keys,
+        ..Plan::default()
+    };
+    let mut ground = Ground::lay_out(plan).unwrap();
+    ground.start_all().unwrap();
+    let met = |g: &Ground| g.views().iter().flatten().filter(|v| v.living == MEMBERS).count() == MEMBERS;
+    ground.wait(PATIENCE, met).expect("all meet");
+    ground.start_clients();
+    ground
+}
+
+fn levels(ground: &Ground, of: &[usize]) -> Option<Vec<f64>> {
+    let views = ground.views();
+    of.iter().map(|i| views[*i].as_ref().map(|view| view.level)).collect()
+}
+
+/// All of these shed something, and nearly the same.
+fn alike(ground: &Ground, of: &[usize]) -> bool {
+    levels(ground, of).is_some_and(|levels| {
+        let (least, most) = levels.iter().fold((f64::MAX, 0f64), |(a, b), l| (a.min(*l), b.max(*l)));
+        least > 0.0 && most - least < 0.2
+    })
+}
+
+fn calm(ground: &Ground) -> bool {
+    levels(ground, &[0, 1, 2, 3]).is_some_and(|levels| levels.iter().all(|level| *level == 0.0))
+}
+
+/// How often members refused for the sake of the level, and for want of room.
+fn refused(ground: &Ground) -> (u64, u64) {
+    ground.member_counts();
+    std::thread::sleep(Duration::from_millis(300));
+    let counts = ground.member_counts();
+    let of = |name: &str| counts.get(name).copied().unwrap_or(0);
+    (of("refused.level"), of("refused.limit") + of("refused.spacing"))
+}
+
+/// Each request has one answer, but for those whose balancer was killed.
+fn answered_once(asked: &[Asked], killed: bool) {
+    let mut ids: HashMap<&str, u32> = HashMap::new();
+    for one in asked {
+        *ids.entry(&one.id).or_default() += 1;
+        assert!(!one.extra, "two answers: {one:?}");
+        assert!(!matches!(one.end, End::Wrong | End::Never), "{one:?}");
+        assert!(killed || !matches!(one.end, End::Broken | End::NoDoor), "{one:?}");
+    }
+    assert!(ids.values().all(|times| *times == 1));
+}
+
+#[test]
+fn an_overload_is_shed_by_all_alike_through_a_split_and_ends_with_its_cause() {
+    let _one = one();
+    let mut ground = ground(true);
+    ground.load.set(STORM);
+    ground.wait(PATIENCE, |g| alike(g, &[0, 1, 2, 3])).expect("all shed by one level");
+    // Each half goes by its own counts, and goes on shedding.
+    let cut = Faults { cut: true, ..Faults::default() };
+    ground.set_links(&[0, 1], &[2, 3], cut);
+    ground.set_links(&[2, 3], &[0, 1], cut);
+    let split = |g: &Ground| g.views().iter().flatten().filter(|v| v.living == 2).count() == MEMBERS;
+    ground.wait(PATIENCE, split).expect("the split is known");
+    ground.wait(PATIENCE, |g| alike(g, &[0, 1]) && alike(g, &[2, 3])).expect("each half by one level");
+    ground.set_links(&[0, 1], &[2, 3], Faults::default());
+    ground.set_links(&[2, 3], &[0, 1], Faults::default());
+    let healed = |g: &Ground| g.views().iter().flatten().filter(|v| v.living == MEMBERS).count() == MEMBERS;
+    ground.wait(PATIENCE, healed).expect("they find each other");
+    ground.wait(PATIENCE, |g| alike(g, &[0, 1, 2, 3])).expect("one level again");
+    assert!(refused(&ground).0 > 0);
+    ground.load.set(CALM);
+    ground.wait(PATIENCE, calm).expect("nothing is shed when it is over");
+    answered_once(&ground.stop_clients(), false);
+}
+
+#[test]
+fn who_starts_or_wakes_in_the_overload_goes_by_the_level_of_the_others() {
+    let _one = one();
+    let mut ground = ground(true);
+    ground.load.set(STORM);
+    ground.wait(PATIENCE, |g| alike(g, &[0, 1, 2, 3])).expect("all shed by one level");
+    ground.members[3].kill();
+    ground.members[2].stop();
+    ground.wait(PATIENCE, |g| alike(g, &[0, 1])).expect("the others go on");
+    let known = |g: &Ground| g.members[0].view().is_some_and(|v| v.living == 2);
+    ground.wait(PATIENCE, known).expect("both are given up");
+    ground.members[2].go_on();
+    ground.members[3].start().unwrap();
+    ground
+        .wait(PATIENCE, |g| alike(g, &[0, 1, 2, 3]))
+        .expect("the newcomer and the one that stood still too");
+    ground.load.set(CALM);
+    ground.wait(PATIENCE, calm).expect("nothing is shed when it is over");
+    answered_once(&ground.stop_clients(), true);
+}
+
+#[test]
+fn without_the_key_no_level_is_agreed_on() {
+    let _one = one();
+    let mut ground = ground(false);
+    ground.load.set(STORM);
+    ground.wait(PATIENCE, |g| refused(g).1 > 20).expect("they refuse for want of room");
+    assert!(calm(&ground));
+    assert_eq!(refused(&ground).0, 0);
+    let words = |i: usize| ground.members[i].view().unwrap().datagrams["load"].as_u64();
+    assert!((0..MEMBERS).all(|i| words(i) == Some(0)), "not one word of load");
+    answered_once(&ground.stop_clients(), false);
+}
