--- a/crates/finchyard/src/brain/tables.rs
+++ b/crates/finchyard/src/brain/tables.rs
@@ -54,7 +54,7 @@
 fn rungs(settings: &Settings) -> Vec<usize> {
     let worth = |class: &Class| [class.worth, class.worth * settings.over_share_worth.clamp(0.0, 1.0)];
     let worths: Vec<f64> = settings.classes.iter().flat_map(worth).collect();
-    let place = |i: usize| (worths[i], i % 2 == 0, i / 2);
+    let place = |i: usize| (worths[i], i.is_multiple_of(2), i / 2);
     let less = |a: usize, b: usize| {
         let (a, b) = (place(a), place(b));
         a.0.total_cmp(&b.0).then((a.1, a.2).cmp(&(b.1, b.2))).is_lt()
