--- a/crates/finchyard/src/brain.rs
+++ b/crates/finchyard/src/brain.rs
@@ -401,7 +401,7 @@
     }
 
     /// Whether all routers shed this request: the rungs of least worth first, and of the last one those whose
-    /// key is in the part of the circle that is shed at this turn, so that it fares alike wherever it is asked.
+    /// key is in the part of the circle that is shed at this turn, so it fares alike wherever it is asked.
     /// The part moves by about half: who comes back at the next turn is let in, as long as half is enough.
     fn sheds(&self, r: &Request) -> bool {
         let part = (self.allowance.level - self.rung(r) as f64).clamp(0.0, SHED_MOST);
