Counts and the most that is shed stand once; no hash a request while nothing is shed

Seen on reading the whole change again: the module and the fleet crate each had a struct of counts, the number of rungs counted and the most that is shed of one; the first two were copied over, and the third had to agree unsaid. A request's key was hashed though nothing was shed. Each comparison of lists copied the whole list, also where the sums agree, as they do most of the time; one of the others was drawn at random in four places, each with a copy of all addresses; whom records tell of was gathered, and only asked whether it was empty.

Change: the counts are the module's (`Tally`, `RUNGS_COUNTED`, `SHED_MOST`), and the fleet crate uses them; no hash without a part to shed; lists are gone through in place; `somebody` draws; records tell how many. The model in virtual time sets its fleet up in one place.

--- a/crates/finchyard/src/api.rs
+++ b/crates/finchyard/src/api.rs
@@ -394,7 +394,7 @@
 pub const RUNGS_COUNTED: usize = 16;
 
 /// What a router let in, and what of it found no room, since it was last asked.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Tally {
     /// Requests let in, by rung (see [`Allowance::level`]).
     pub let_in: [u32; RUNGS_COUNTED],
@@ -403,6 +403,21 @@
     pub short: u32,
 }
 
+impl Tally {
+    /// Adds another's counts.
+    pub fn add(&mut self, other: &Tally) {
+        self.short = self.short.saturating_add(other.short);
+        for (sum, more) in self.let_in.iter_mut().zip(other.let_in) {
+            *sum = sum.saturating_add(more);
+        }
+    }
+
+    /// All that was let in.
+    pub fn all(&self) -> u32 {
+        self.let_in.iter().fold(0, |sum, n| sum.saturating_add(*n))
+    }
+}
+
 /// How far all routers of a fleet shed load together.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Allowance {
--- a/crates/finchyard/src/brain.rs
+++ b/crates/finchyard/src/brain.rs
@@ -81,7 +81,8 @@
 const USEFUL: f64 = 2.0; // Let through for each that was useful: a share that is well again doubles in 2 s.
 const LEAST_SHARE: f64 = 0.3; // Clients repeat a few times, no more; some failures are not of our making.
 const UNSEEN: f64 = 1.0; // Let through besides, in the memory of a rate, to see whether it works again.
-const SHED_MOST: f64 = 0.95; // Of any rung: what is shut out whole is never seen to have room again.
+/// The most of a rung that is shed: what is shut out whole is never seen to have room again.
+pub const SHED_MOST: f64 = 0.95;
 const SHED_TURN: f64 = 0.55; // Of the circle: over half, or turns would shed the same halves for ever.
 const HOLD_PART: Nanos = 2; // A request waits for room at most this part of its aim ...
 const HOLD_PART_OVER: Nanos = 8; // ... or this, beyond its tenant's share; later it would come late anyway.
@@ -405,9 +406,12 @@
     /// The part moves by about half: who comes back at the next turn is let in, as long as half is enough.
     fn sheds(&self, r: &Request) -> bool {
         let part = (self.allowance.level - self.rung(r) as f64).clamp(0.0, SHED_MOST);
+        if part == 0.0 {
+            return false;
+        }
         let of = r.new.key.map_or(r.new.id.0, |key| u128::from(key.0)).to_le_bytes();
         let place = xxh3_64_with_seed(&of, r.new.class.0 as u64) as f64 / u64::MAX as f64;
-        part > 0.0 && (place + SHED_TURN * (self.allowance.turn % 1_000) as f64).fract() < part
+        (place + SHED_TURN * (self.allowance.turn % 1_000) as f64).fract() < part
     }
 
     /// Whether the fleet, as far as this router saw, has room for one more request. Where routers are so many
--- a/crates/finchyard/src/lib.rs
+++ b/crates/finchyard/src/lib.rs
@@ -97,4 +97,4 @@
 mod stats;
 
 pub use api::*;
-pub use brain::{Brain, Learnt};
+pub use brain::{Brain, Learnt, SHED_MOST};
--- a/crates/fleet/src/compare.rs
+++ b/crates/fleet/src/compare.rs
@@ -137,6 +137,11 @@
     from: usize,
     last: bool,
 ) -> Answer {
+    let mut answer = Answer { by, parts: 0, last, entries: Vec::new() };
+    // As it is most of the time.
+    if differing == 0 {
+        return answer;
+    }
     let mut parts: Vec<Vec<Entry>> = vec![Vec::new(); BUCKETS];
     for entry in entries {
         let part = bucket(entry.id.address);
@@ -144,7 +149,6 @@
             parts[part].push(entry);
         }
     }
-    let mut answer = Answer { by, parts: 0, last, entries: Vec::new() };
     let mut room = PAYLOAD_MAX - ENTRY_MAX - 10;
     for part in (0..BUCKETS).map(|n| (n + from) % BUCKETS).filter(|part| differing & (1 << part) != 0) {
         let mut whole = true;
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -450,7 +450,7 @@
         };
         let taken = self.records.take(self.settings.address, payload, known, swim.num_members());
         let Some(unknown) = taken else { return false };
-        if !unknown.is_empty() {
+        if unknown > 0 {
             self.pace.stir(self.now);
         }
         true
@@ -639,28 +639,37 @@
         self.carry_out(runtime);
     }
 
+    /// One of the others who are there, at random.
+    fn somebody(&mut self) -> Option<SocketAddr> {
+        let others = self.swim.num_members();
+        let chosen = (others > 0).then(|| self.rng.random_range(0..others))?;
+        self.swim.iter_members().nth(chosen).map(|m| m.id().address)
+    }
+
     /// Passes records on.
     fn spread(&mut self) {
-        let others: Vec<Identity> = self.swim.iter_members().map(|m| *m.id()).collect();
-        if others.is_empty() {
+        if self.swim.num_members() == 0 {
             return;
         }
         if self.now >= self.gossip {
             self.gossip = self.now + GOSSIP;
             for _ in 0..GOSSIP_TO {
-                if self.records.has_news() {
-                    let to = others[self.rng.random_range(0..others.len())].address;
+                if self.records.has_news()
+                    && let Some(to) = self.somebody()
+                {
                     self.tell_records(to, false);
                 }
             }
         }
         if self.now >= self.round && !planted::is(Fault::TellsRecordsOnce) {
             self.round = self.now + ROUND;
-            let to = others[self.rng.random_range(0..others.len())].address;
-            self.tell_records(to, true);
+            if let Some(to) = self.somebody() {
+                self.tell_records(to, true);
+            }
         }
-        if let Some(want) = self.records.want(self.now, others.iter()) {
-            let to = others[self.rng.random_range(0..others.len())].address;
+        if let Some(want) = self.records.want(self.now, self.swim.iter_members().map(|m| m.id()))
+            && let Some(to) = self.somebody()
+        {
             self.send(to, Kind::Want, &want);
         }
     }
@@ -683,7 +692,7 @@
             self.heard.retain(|address, _| table.knows(address));
             let own = self.settings.address;
             self.records.retain(|address| address == own || table.knows(&address));
-            let sums = Sums::of(self.entries().into_iter());
+            let sums = Sums::of(self.entries());
             if sums != self.sums {
                 self.sums = sums;
                 self.pace.stir(self.now);
--- a/crates/fleet/src/member/agree.rs
+++ b/crates/fleet/src/member/agree.rs
@@ -6,7 +6,7 @@
 use crate::envelope::Kind;
 use crate::overload::{Overload, Tally, Word};
 use crate::planted::{self, Fault};
-use crate::{MS, Nanos};
+use crate::{Identity, MS, Nanos};
 use rand::RngExt;
 use std::net::SocketAddr;
 
@@ -15,16 +15,20 @@
 
 impl Member {
     /// What it holds of all others, and of itself.
-    pub(super) fn entries(&self) -> Vec<Entry> {
+    pub(super) fn entries(&self) -> impl Iterator<Item = Entry> {
         let own = Entry { id: self.id(), incarnation: 0, down: false, record: self.records.sum(&self.id()) };
-        let mut entries = vec![own];
-        entries.extend(self.swim.iter_membership_state().map(|m| Entry {
+        let others = self.swim.iter_membership_state().map(|m| Entry {
             id: *m.id(),
             incarnation: m.incarnation(),
             down: m.state() == foca::State::Down,
             record: self.records.sum(m.id()),
-        }));
-        entries
+        });
+        std::iter::once(own).chain(others)
+    }
+
+    /// Whether it takes this one for there, in this life. Itself it is not among those.
+    fn is_there(&self, id: &Identity) -> bool {
+        self.swim.iter_members().any(|m| m.id() == id)
     }
 
     /// Asks one of the others whether it holds the same, if it is time.
@@ -35,11 +39,7 @@
         {
             return;
         }
-        let others: Vec<SocketAddr> = self.swim.iter_members().map(|m| m.id().address).collect();
-        if others.is_empty() {
-            return;
-        }
-        let to = others[self.rng.random_range(0..others.len())];
+        let Some(to) = self.somebody() else { return };
         self.traffic.compared += 1;
         let question = compare::question(self.id(), &self.sums);
         self.send(to, Kind::Compare, &question);
@@ -48,12 +48,10 @@
     /// Another asks.
     pub(super) fn take_compare(&mut self, from: SocketAddr, payload: &[u8]) -> bool {
         let first = self.rng.random_range(0..compare::BUCKETS);
-        let entries = self.entries().into_iter();
-        let Some((answer, by)) = compare::answer(payload, self.id(), &self.sums, entries, first) else {
-            return false;
-        };
+        let answer = compare::answer(payload, self.id(), &self.sums, self.entries(), first);
+        let Some((answer, by)) = answer else { return false };
         // Who is not held for living is not told of others: it hears by `foca` that it was given up.
-        if by.address == self.settings.address || !self.swim.iter_members().any(|m| *m.id() == by) {
+        if !self.is_there(&by) {
             return true;
         }
         if !answer.agrees() {
@@ -66,7 +64,7 @@
     /// What another holds is taken over as far as it is later, and it is told what it lacks.
     pub(super) fn take_told(&mut self, from: SocketAddr, payload: &[u8]) -> bool {
         let Some(told) = compare::read(payload) else { return false };
-        if told.by.address == self.settings.address || !self.swim.iter_members().any(|m| *m.id() == told.by) {
+        if !self.is_there(&told.by) {
             return true;
         }
         if told.agrees() {
@@ -75,7 +73,7 @@
         }
         self.pace.stir(self.now);
         if !told.last
-            && let Some(back) = told.lacks(self.id(), self.entries().into_iter())
+            && let Some(back) = told.lacks(self.id(), self.entries())
         {
             self.send(from, Kind::Told, &compare::write(&back));
         }
@@ -148,9 +146,8 @@
         }
         self.tell_load = self.now + GOSSIP;
         let words = postcard::to_stdvec(&overload.words(self.now)).unwrap_or_default();
-        let others: Vec<SocketAddr> = self.swim.iter_members().map(|m| m.id().address).collect();
-        for _ in 0..GOSSIP_TO.min(others.len()) {
-            let to = others[self.rng.random_range(0..others.len())];
+        for _ in 0..GOSSIP_TO.min(self.swim.num_members()) {
+            let Some(to) = self.somebody() else { return };
             self.traffic.load += 1;
             self.send(to, Kind::Load, &words);
         }
--- a/crates/fleet/src/overload.rs
+++ b/crates/fleet/src/overload.rs
@@ -12,6 +12,7 @@
 use crate::envelope::PAYLOAD_MAX;
 use crate::planted::{self, Fault};
 use crate::{MS, Nanos};
+pub use finchyard::{RUNGS_COUNTED, SHED_MOST, Tally};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -42,34 +43,8 @@
 const DOWN_MOST: f64 = 0.5;
 /// After it rose the level stays for so many steps: what others tell was counted before.
 const RESTS: u32 = 1;
-/// The most of a rung that is shed: some always get through, so that no class or tenant is shut out.
-pub const SHED_MOST: f64 = 0.95;
 /// Under this a level is none.
 const LEAST: f64 = 0.01;
-/// Rungs that are counted apart; the dearest beyond them are counted as one.
-pub const RUNGS_COUNTED: usize = 16;
-
-/// What a member counted in one step.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Tally {
-    /// Requests let in, by rung.
-    pub let_in: [u32; RUNGS_COUNTED],
-    /// Those of them that were turned away later, for want of room.
-    pub short: u32,
-}
-
-impl Tally {
-    fn add(&mut self, other: &Tally) {
-        self.short = self.short.saturating_add(other.short);
-        for (sum, more) in self.let_in.iter_mut().zip(other.let_in) {
-            *sum = sum.saturating_add(more);
-        }
-    }
-
-    fn all(&self) -> u32 {
-        self.let_in.iter().fold(0, |sum, n| sum.saturating_add(*n))
-    }
-}
 
 /// A member's word of its load.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
@@ -176,7 +151,7 @@
     pub fn words(&self, now: Nanos) -> Vec<Word> {
         let mut fresh: Vec<&Heard> = self.heard.values().filter(|heard| is_fresh(heard, now)).collect();
         fresh.sort_by_key(|heard| std::cmp::Reverse(heard.said));
-        let mut words = vec![Word { level: self.level as f32, ..self.own }];
+        let mut words = vec![self.own];
         let length = |word: &Word| postcard::to_stdvec(word).map_or(PAYLOAD_MAX, |bytes| bytes.len());
         // The count of words stands before them, in at most two bytes.
         let mut room = PAYLOAD_MAX - 2 - length(&words[0]);
--- a/crates/fleet/src/records.rs
+++ b/crates/fleet/src/records.rs
@@ -162,20 +162,20 @@
     }
 
     /// Takes in records of others; of an unknown member none is kept. `known` tells by which generation a member is known.
-    /// Returns who is told of and not known, or only by an older life: a rumour of membership dies out now and then before it
-    /// has reached all, and records go round for good.
+    /// Returns how many are told of and not known, or only by an older life: a rumour of membership dies out now and then
+    /// before it has reached all, and records go round for good.
     pub fn take(
         &mut self,
         own: SocketAddr,
         payload: &[u8],
         known: impl Fn(SocketAddr) -> Option<u64>,
         members: usize,
-    ) -> Option<Vec<Identity>> {
+    ) -> Option<usize> {
         let records: Vec<Record> = postcard::from_bytes(payload).ok()?;
         if !records.iter().all(Record::is_bounded) {
             return None;
         }
-        let mut unknown = Vec::new();
+        let mut unknown = 0;
         for record in records {
             let address = record.of.address;
             // Of oneself one knows best.
@@ -186,7 +186,7 @@
             if generation.is_none_or(|generation| generation < record.of.generation)
                 && record.soft.phase != Phase::Leaving
             {
-                unknown.push(record.of);
+                unknown += 1;
             }
             if generation.is_some()
                 && self.held.get(&address).is_none_or(|held| record.is_newer(&held.record))
@@ -322,7 +322,7 @@
             let before = records.changes();
             let known = |a: SocketAddr| (a.port() < 9).then_some(5);
             let unknown = records.take(own(), &payload, known, 3)?;
-            Some((records.changes() - before, unknown.len()))
+            Some((records.changes() - before, unknown))
         };
         assert_eq!(take(&mut records, record(2, 5, 3)), Some((1, 0)));
         for old in [record(2, 5, 3), record(2, 5, 2), record(2, 4, 99)] {
@@ -379,7 +379,7 @@
         let want = mine.want(WANT_EVERY, living.iter()).unwrap();
         assert_eq!(mine.want(WANT_EVERY + 1, living.iter()), None, "not so often");
         let answer = theirs.answer(&want).unwrap();
-        assert_eq!(mine.take(own(), &answer[0], |_| Some(1), 2), Some(Vec::new()));
+        assert_eq!(mine.take(own(), &answer[0], |_| Some(1), 2), Some(0));
         assert!(mine.of(&living[0]).is_some());
         theirs.put(record(2, 1, 2), 2);
         let many: Vec<SocketAddr> = (0..=WANT_MAX as u16).map(|n| record(n, 1, 1).of.address).collect();
--- a/crates/pipitrun/src/event_loop/fleet.rs
+++ b/crates/pipitrun/src/event_loop/fleet.rs
@@ -39,8 +39,7 @@
 
     pub(super) fn fleet_turn(&mut self, now: Nanos) {
         let Some(fleet) = &mut self.fleet else { return };
-        let tally = self.decide.take_tally();
-        fleet.count(pipitrun_fleet::overload::Tally { let_in: tally.let_in, short: tally.short });
+        fleet.count(self.decide.take_tally());
         if let Some(routers) = fleet.turn(now, &self.life, self.counters.taken) {
             self.news.push(Event::Routers(routers));
         }
--- a/crates/trials/src/virtual_overload.rs
+++ b/crates/trials/src/virtual_overload.rs
@@ -3,7 +3,7 @@
 //! worth 3 and, a tenth, writes worth 10.
 
 use crate::virtual_time::Fleet;
-use pipitrun_fleet::overload::{FRESH, SHED_MOST, Tally};
+use pipitrun_fleet::overload::{FRESH, RUNGS_COUNTED, SHED_MOST, Tally};
 use pipitrun_fleet::{MS, Nanos};
 use serde::Serialize;
 
@@ -93,7 +93,7 @@
     let mut let_in = Vec::new();
     for n in &running {
         let mine = total * weights[*n] / here;
-        let level = fleet.member(*n).map_or(0.0, |m| m.level());
+        let level = fleet.level(*n);
         let reads = mine * (1.0 - WRITE_PART) * (1.0 - shed(level, READS));
         let writes = mine * WRITE_PART * (1.0 - shed(level, WRITES));
         let_in.push((*n, reads, writes));
@@ -118,23 +118,28 @@
     let reads = (total * (1.0 - WRITE_PART)).min(room - writes);
     sum.perfect += writes * WRITE_WORTH + reads * READ_WORTH;
     (sum.tries, sum.room) = (sum.tries + tries, sum.room + room);
-    let next = fleet.now + TICK;
-    fleet.play(next);
+    fleet.play(fleet.now + TICK);
 }
 
 fn spread(fleet: &Fleet) -> f64 {
-    let levels = fleet.running().into_iter().filter_map(|n| fleet.member(n)).map(|m| shed(m.level(), READS));
+    let levels = fleet.running().into_iter().map(|n| shed(fleet.level(n), READS));
     let (least, most) = levels.fold((f64::MAX, 0f64), |(a, b), level| (a.min(level), b.max(level)));
     (most - least).max(0.0)
 }
 
-/// Plays calm, 15 s of twice the room, and calm until nothing is shed.
-fn run(members: usize, loss: f64, seed: u64, trouble: Trouble, apart: bool) -> (Sum, Option<f64>, f64) {
+/// A fleet whose members have met, and agree on a level.
+fn met(members: usize, loss: f64, seed: u64) -> Fleet {
     let mut fleet = Fleet::new(members, 3, seed);
     fleet.network.loss = loss;
     fleet.set_rungs(RUNGS);
     fleet.start_all();
     fleet.until(CEILING, Fleet::settled);
+    fleet
+}
+
+/// Plays calm, 15 s of twice the room, and calm until nothing is shed.
+fn run(members: usize, loss: f64, seed: u64, trouble: Trouble, apart: bool) -> (Sum, Option<f64>, f64) {
+    let mut fleet = met(members, loss, seed);
     fleet.network.load_loss = if apart { 1.0 } else { 0.0 };
     let mut weights = vec![1.0; members];
     if trouble == Trouble::Uneven {
@@ -186,7 +191,7 @@
     let mut over_s = None;
     while over_s.is_none() && fleet.now - over < 30 * S {
         tick(&mut fleet, &mut carried, &weights, CALM, &mut unjudged);
-        let done = fleet.running().iter().all(|n| fleet.member(*n).is_some_and(|m| m.level() == 0.0));
+        let done = fleet.running().iter().all(|n| fleet.level(*n) == 0.0);
         over_s = done.then(|| ((fleet.now - over) / MS) as f64 / 1e3);
     }
     (sum, over_s, datagrams)
@@ -230,23 +235,18 @@
 
 /// All but one are gone after they shed much; the one that is left goes by their words no longer than they are fresh.
 fn stale(seed: u64) -> Result<(), String> {
-    let mut fleet = Fleet::new(6, 3, seed);
-    fleet.set_rungs(RUNGS);
-    fleet.start_all();
-    fleet.until(CEILING, Fleet::settled);
+    let mut fleet = met(6, 0.0, seed);
     let (mut carried, weights) = (vec![[0.0; 3]; 6], vec![1.0; 6]);
     for _ in 0..5 * S / TICK {
         tick(&mut fleet, &mut carried, &weights, 8.0 * ROOM, &mut Sum::default());
     }
     (1..6).for_each(|n| fleet.kill(n));
     let gone = fleet.now;
-    let level = |fleet: &Fleet| fleet.member(0).map_or(0.0, |m| m.level());
-    while level(&fleet) > 0.0 && fleet.now - gone < FRESH + 15 * S {
-        fleet.count(0, Tally { let_in: [4; 16], short: 0 });
-        let next = fleet.now + TICK;
-        fleet.play(next);
+    while fleet.level(0) > 0.0 && fleet.now - gone < FRESH + 15 * S {
+        fleet.count(0, Tally { let_in: [4; RUNGS_COUNTED], short: 0 });
+        fleet.play(fleet.now + TICK);
     }
-    match level(&fleet) {
+    match fleet.level(0) {
         0.0 => Ok(()),
         level => Err(format!("words of the dead are believed: level {level:.2}")),
     }
--- a/crates/trials/src/virtual_time.rs
+++ b/crates/trials/src/virtual_time.rs
@@ -122,6 +122,11 @@
         }
     }
 
+    /// The level that a member sheds by; 0 if none runs at this place.
+    pub fn level(&self, n: usize) -> f64 {
+        self.member(n).map_or(0.0, Member::level)
+    }
+
     /// How many places there are.
     pub fn len(&self) -> usize {
         self.places.len()
