--- a/crates/finchyard/src/api.rs
+++ b/crates/finchyard/src/api.rs
@@ -523,6 +523,9 @@
         server: ServerId,
         /// Its time-out; `None`: until the client gives up.
         timeout: Option<Nanos>,
+        /// Its first byte is written within this, in nanoseconds, or never: later the servers no longer discard it as a
+        /// repeat. `None`: no such bound.
+        begin_within: Option<Nanos>,
     },
     /// Final answer: failed, nothing promised.
     Fail {
--- a/crates/finchyard/src/brain.rs
+++ b/crates/finchyard/src/brain.rs
@@ -87,7 +87,7 @@
 const HOLD_PART: Nanos = 2; // A request waits for room at most this part of its aim ...
 const HOLD_PART_OVER: Nanos = 8; // ... or this, beyond its tenant's share; later it would come late anyway.
 const CALL_BACKOFF: Nanos = 400 * MS; // First wait after a failed list call; doubles up to the next.
-const CALL_BACKOFF_MAX: Nanos = 5_000 * MS;
+const CALL_BACKOFF_MAX: Nanos = 5_000 * MS; // Or twice the time for asking: a failed call counts for four.
 const CALL_SPREAD: Nanos = 300 * MS; // Routers restarted together spread their first list call over it.
 
 fn unknown_server(entry: Entry, now: Nanos, fill: f64) -> Server {
@@ -161,13 +161,13 @@
         if r.out() > 0 && !two_out || matches!(step, Step::Copy(_)) && effect != Effect::Safe {
             return false;
         }
-        let mut ran = r.attempts.iter().filter(|a| a.may_have_run()).peekable();
+        let mut ran = r.attempts.iter().filter(|a| a.may_have_run());
         match effect {
             Effect::Safe => true,
-            Effect::Unsafe => ran.peek().is_none(),
+            Effect::Unsafe => ran.next().is_none(),
             // The servers forget a repeat `window` after the first send that may have run.
             Effect::Keyed { group, window } => {
-                ran.peek().is_none_or(|first| self.now < first.sent.saturating_add(window))
+                r.first_run().is_none_or(|first| self.now < first.sent.saturating_add(window))
                     && ran.all(|a| match group {
                         Group::All => true,
                         Group::Zone => a.zone == server.entry.zone,
@@ -528,6 +528,12 @@
             _ => None,
         };
         let safe = class.effect == Effect::Safe;
+        let begin_within = match class.effect {
+            Effect::Keyed { window, .. } => {
+                r.first_run().map(|first| first.sent.saturating_add(window).saturating_sub(self.now))
+            }
+            _ => None,
+        };
         let Some(s) = self.servers.get_mut(&id) else { return };
         s.out.push((self.now, r.new.id, number));
         s.idle_since = None;
@@ -535,7 +541,8 @@
         let (zone, cell) = (s.entry.zone, s.entry.cell);
         r.attempts.push(Attempt { server: id, zone, cell, sent: self.now, ended: None, origin });
         r.held_since = None;
-        self.actions.push(Action::Send { request: r.new.id, attempt: number, server: id, timeout });
+        let (request, attempt, server) = (r.new.id, number, id);
+        self.actions.push(Action::Send { request, attempt, server, timeout, begin_within });
         if safe && !origin && !r.copied && self.settings.limits.second_copies {
             self.timer(self.late_after(left), Timer::Copy(r.new.id));
         }
@@ -922,7 +929,13 @@
         match scope {
             ListScope::Failed => {
                 let wait = self.call_backoff / 2 + self.random_below(self.call_backoff);
-                self.call_backoff = (self.call_backoff * 2).min(CALL_BACKOFF_MAX);
+                let most = match self.settings.discovery {
+                    Discovery::Asked { within: within @ 1.. } => {
+                        CALL_BACKOFF_MAX.min(within.saturating_mul(2))
+                    }
+                    _ => CALL_BACKOFF_MAX,
+                };
+                self.call_backoff = (self.call_backoff * 2).min(most);
                 return self.timer(wait, Timer::Call);
             }
             ListScope::Patch => {}
--- a/crates/finchyard/src/brain/tests.rs
+++ b/crates/finchyard/src/brain/tests.rs
@@ -974,3 +974,37 @@
     assert_eq!(a, b);
     assert!(a.len() > 600);
 }
+
+#[test]
+fn a_keyed_repeat_begins_within_its_window_and_what_never_ran_does_not_bound_it() {
+    for (outcome, bound) in [(Outcome::Reset, Some(250 * MS)), (Outcome::ConnectFailed, None)] {
+        let mut brain = brain(3);
+        brain.settings.classes[0].effect = Effect::Keyed { group: Group::All, window: 300 * MS };
+        let within = |actions: Vec<Action>| {
+            let send = |a| if let Action::Send { begin_within, .. } = a { Some(begin_within) } else { None };
+            actions.into_iter().find_map(send)
+        };
+        assert_eq!(within(read(&mut brain, 1)), Some(None), "the first is no repeat");
+        brain.now += 50 * MS;
+        assert_eq!(within(end(&mut brain, 1, outcome)), Some(bound), "{outcome:?}");
+    }
+}
+
+#[test]
+fn after_failed_calls_the_next_comes_before_a_failed_call_counts_as_told() {
+    for (within, longest) in [(10_000, 7_500), (1_000, 3_000), (0, 7_500)] {
+        let mut brain = brain(1);
+        brain.settings.discovery = Discovery::Asked { within: within * MS };
+        let mut most = 0;
+        for _ in 0..200 {
+            let mut actions = Vec::new();
+            let failed = Event::List { scope: ListScope::Failed, entries: Vec::new() };
+            brain.handle(brain.now, failed, &mut actions);
+            let call = |a| if let Action::Timer { after, token } = a { Some((after, token)) } else { None };
+            let waits = actions.into_iter().filter_map(call);
+            let waits = waits.filter(|(_, token)| matches!(brain.timers.get(&token.0), Some(Timer::Call)));
+            most = most.max(waits.map(|(after, _)| after).max().unwrap_or(0));
+        }
+        assert!(most > longest * MS / 2 && most <= longest * MS, "{within}: {most}");
+    }
+}
--- a/crates/finchyard/src/state.rs
+++ b/crates/finchyard/src/state.rs
@@ -83,6 +83,10 @@
     pub(crate) fn tried(&self, id: ServerId) -> bool {
         self.attempts.iter().any(|a| a.server == id)
     }
+    /// The first attempt that may have had its effect.
+    pub(crate) fn first_run(&self) -> Option<&Attempt> {
+        self.attempts.iter().find(|a| a.may_have_run())
+    }
     /// How many attempts are out.
     pub(crate) fn out(&self) -> usize {
         self.attempts.iter().filter(|a| a.ended.is_none()).count()
--- a/crates/pipitrun/src/config.rs
+++ b/crates/pipitrun/src/config.rs
@@ -141,6 +141,12 @@
         keys.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key).collect()
     }
 
+    /// The configuration in this text, with no environment.
+    #[cfg(test)]
+    pub fn read(text: &str) -> Result<Config, ConfigError> {
+        Config::parse(text, |_| None)
+    }
+
     fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
         let mut json = serde_json::Deserializer::from_str(text);
         let file: File = serde_path_to_error::deserialize(&mut json)
--- a/crates/pipitrun/src/counters.rs
+++ b/crates/pipitrun/src/counters.rs
@@ -121,6 +121,12 @@
     failed,
     /// Requests whose client left before the answer.
     gone,
+    /// Tries that were never sent because the client had left before.
+    left_unsent,
+    /// The longest time between the two, in milliseconds, rounded up.
+    left_unsent_ms,
+    /// Clients that were found to have left while their connections were not read.
+    left_unread,
     /// Client connections accepted.
     clients_accepted,
     /// Client connections closed, by either side.
@@ -151,6 +157,10 @@
     list_calls,
     /// Calls of discovery that failed or ended.
     list_failed,
+    /// Of these, given up for saying nothing.
+    list_silent,
+    /// The longest silence before that, in milliseconds.
+    list_silent_ms,
     /// Calls of the operators.
     calls,
     /// Calls that were none: no HTTP, an unknown path, a wrong method, too long.
--- a/crates/pipitrun/src/event_loop.rs
+++ b/crates/pipitrun/src/event_loop.rs
@@ -104,7 +104,8 @@
         let brain = Brain::new(config.settings.clone(), config.seed, now).map_err(|e| e.to_string())?;
         let transport = config.transport;
         let known = config.known.take();
-        let life = LifeCycle::new(config.socket_fd.is_some());
+        let deadlines = config.settings.classes.iter().map(|class| class.deadline);
+        let life = LifeCycle::new(config.socket_fd.is_some(), deadlines.max().unwrap_or_default());
         let grace = config.settings.rules.drain_grace;
         let pace = (config.settings.discovery == Discovery::Pushed).then(|| Pace::new(grace));
         let management = |address| {
@@ -233,7 +234,9 @@
         match due {
             Due::Module(token) => self.news.push(Event::Timer(token)),
             Due::Try(request, attempt) => {
-                let outcome = Outcome::Timeout;
+                // What was not sent whole never ran, and may be repeated.
+                let unsent = self.peers.is_unsent(Job::Try(request, attempt));
+                let outcome = if unsent { Outcome::ConnectFailed } else { Outcome::Timeout };
                 if let Some(event) = self.tries.give_up(now, request, attempt, outcome, &mut self.counters) {
                     self.peers.abandon(Job::Try(request, attempt), &mut self.counters);
                     self.news.push(event);
@@ -281,7 +284,10 @@
         let mut events = VecDeque::from(events);
         while let Some(event) = events.pop_front() {
             match event {
-                FrontEvent::Request(incoming) => {
+                FrontEvent::Request(mut incoming) => {
+                    if let Some(by) = self.life.answer_by() {
+                        incoming.patience = incoming.patience.min(by.saturating_sub(now));
+                    }
                     // More would end the process for its memory, and with it all that was taken.
                     let full = self.tries.held() + self.front.buffered() > self.memory;
                     let full = full || self.tries.open() >= self.max_open;
@@ -308,7 +314,7 @@
                         self.tries.passed(request);
                         self.peers.abandon(job, &mut self.counters);
                     } else {
-                        self.tries.gone(request);
+                        self.tries.gone(now, request);
                         self.news.push(Event::Gone(request));
                     }
                 }
@@ -341,6 +347,7 @@
     fn peer_events(&mut self, now: Nanos, events: Vec<PeerEvent>) {
         for event in events {
             match event {
+                PeerEvent::Up { job } => self.first_byte(now, job),
                 PeerEvent::Begun { job, length } => self.begun(now, job, length),
                 PeerEvent::Part { job, bytes } => self.part(now, job, &bytes),
                 PeerEvent::End { job, end } => self.job_ended(now, job, end),
@@ -348,6 +355,33 @@
         }
     }
 
+    /// The connection of a job is up: the job begins, unless it is not wanted any more.
+    fn first_byte(&mut self, now: Nanos, job: Job) {
+        let command = match job {
+            Job::Try(request, attempt) => self.tries.first_byte(now, request, attempt, &mut self.counters),
+            Job::Probe(_) => {
+                // Where load is reported the probe asks for it.
+                let load = !self.decide.names().report.is_empty();
+                let words: &[&[u8]] = if load { &[b"INFO", b"load"] } else { &[b"PING"] };
+                Ok(write_command(words))
+            }
+        };
+        match command {
+            Ok(command) => {
+                let mut events = Vec::new();
+                self.peers.begin(job, command, &mut events, &mut self.counters);
+                self.peer_events(now, events);
+            }
+            Err(never_sent) => {
+                if let Job::Try(request, attempt) = job {
+                    self.timers.cancel(Due::Try(request, attempt));
+                }
+                self.peers.abandon(job, &mut self.counters);
+                self.news.extend(never_sent.map(|event| *event));
+            }
+        }
+    }
+
     fn job_ended(&mut self, now: Nanos, job: Job, end: JobEnd) {
         if let Job::Try(request, attempt) = job {
             self.timers.cancel(Due::Try(request, attempt));
@@ -442,7 +476,7 @@
             }
             match host.dial.parse() {
                 Ok(address) => {
-                    if self.peers.set_address(server, address, &mut self.counters) {
+                    if self.peers.set_address(server, address, &mut events, &mut self.counters) {
                         // The module's log lines name servers by their numbers only.
                         log::info!("upstream group: {} is server {}, at {address}", host.host, server.0);
                     }
@@ -474,8 +508,9 @@
 
     fn carry_out(&mut self, now: Nanos, action: Action) {
         match action {
-            Action::Send { request, attempt, server, timeout } => {
-                match self.tries.start(now, (request, attempt), server, timeout, &mut self.counters) {
+            Action::Send { request, attempt, server, timeout, begin_within } => {
+                let bounds = (timeout, begin_within);
+                match self.tries.start(now, (request, attempt), server, bounds, &mut self.counters) {
                     Ok(outgoing) => {
                         if let Job::Try(request, attempt) = outgoing.job {
                             self.timers.set(outgoing.until, Due::Try(request, attempt));
@@ -505,6 +540,9 @@
                 }
             }
             Action::Cancel { request, attempt } => {
+                if self.peers.is_unsent(Job::Try(request, attempt)) {
+                    self.tries.count_unsent(now, request, &mut self.counters);
+                }
                 let outcome = Outcome::Cancelled;
                 if let Some(event) = self.tries.give_up(now, request, attempt, outcome, &mut self.counters) {
                     self.timers.cancel(Due::Try(request, attempt));
@@ -517,13 +555,7 @@
                 if let Job::Probe(probe) = job {
                     self.timers.set(now + PROBE_TIMEOUT, Due::Probe(probe));
                 }
-                // Where load is reported the probe asks for it.
-                let load = !self.decide.names().report.is_empty();
-                let words: &[&[u8]] = if load { &[b"INFO", b"load"] } else { &[b"PING"] };
-                self.dispatch(
-                    now,
-                    Outgoing { job, server, until: now + PROBE_TIMEOUT, command: write_command(words) },
-                );
+                self.dispatch(now, Outgoing { job, server, until: now + PROBE_TIMEOUT });
             }
             Action::Close(server) => self.peers.close_idle(server, &mut self.counters),
             Action::Watch => self.watch(now),
@@ -611,3 +643,6 @@
     let mut bytes = [0; 64];
     while matches!(pipe.socket().read(&mut bytes), Ok(n) if n > 0) {}
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/pipitrun/src/event_loop/tests.rs
@@ -0,0 +1,380 @@
+//! Two events that cross, on real connections: a test says which sockets the loop is told of in one turn and in which
+//! order, whatever the kernel and the clock make of it. A connection is late for as long as the loop isn't told that it is up.
+
+use super::*;
+use rstest::rstest;
+use serde_json::json;
+use socket2::SockRef;
+use std::net::{TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+/// After this a step has failed; no step of a working loop comes near it.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// The loop with caches, a discovery and clients, all played by the test.
+struct Stage {
+    the: EventLoop,
+    events: Events,
+    caches: Vec<TcpListener>,
+    discovery: TcpListener,
+    clients: Vec<TcpStream>,
+}
+
+fn local(listener: &TcpListener) -> String {
+    listener.local_addr().unwrap().to_string()
+}
+
+/// What some tests have otherwise.
+#[derive(Clone, Copy)]
+struct Given {
+    caches: usize,
+    cancel: bool,
+    window_ms: u64,
+}
+
+const GIVEN: Given = Given { caches: 1, cancel: true, window_ms: 60_000 };
+
+impl Stage {
+    fn set(given: Given) -> Self {
+        let listen = || TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let caches: Vec<TcpListener> = (0..given.caches).map(|_| listen()).collect();
+        let discovery = listen();
+        let host = |(n, cache)| json!({"host": format!("s-{n}"), "dial": local(cache)});
+        let hosts: Vec<_> = caches.iter().enumerate().map(host).collect();
+        let class = |name: &str, repeat: &str| {
+            json!({"name": name, "repeat": repeat, "group": "all", "memory_span_ns": given.window_ms * MS,
+                "goal_time_ns": 60_000 * MS, "give_up_ns": 90_000 * MS, "worth": 1})
+        };
+        let config = json!({
+            "listen": "127.0.0.1:0", "discovery": local(&discovery), "seed": "2a",
+            "known": {"seq": 7, "whole": true, "hosts": hosts},
+            "settings": {
+                "membership_mode": "automatic", "group_size": 1, "step_ns": MS,
+                "caps": {"max_attempts": 3, "may_cancel": given.cancel, "second_copies": true,
+                    "conn_idle_ns": 60_000 * MS, "connect_timeout_ns": 60_000 * MS},
+                "obligations": {"drain_grace_ns": 500 * MS, "grace_to_answer_ns": 16 * MS},
+                "profiles": [class("read", "safe"), class("put", "keyed"), class("once", "unsafe")],
+            },
+        });
+        let the = EventLoop::new(Config::read(&config.to_string()).expect("it is sound")).expect("it starts");
+        Stage { the, events: Events::new(), caches, discovery, clients: Vec::new() }
+    }
+
+    fn client(&mut self) -> usize {
+        let client = TcpStream::connect(self.the.front.address().expect("the door is open")).unwrap();
+        client.set_read_timeout(Some(PATIENCE)).unwrap();
+        self.clients.push(client);
+        self.turn(&[Source::Listener]);
+        self.clients.len() - 1
+    }
+
+    /// A new client asks, and the module has decided.
+    fn ask(&mut self, class: &str, d: u64) {
+        let number = self.client();
+        let fields = format!("c={class},d={d}");
+        let mut words: Vec<&[u8]> = vec![b"C.GET", b"a", b"1", fields.as_bytes()];
+        if class != "read" {
+            words[0] = b"C.SET";
+            words.push(b"value");
+        }
+        self.clients[number].write_all(&write_command(&words)).unwrap();
+        self.turn(&[Source::Client(number as u64)]);
+    }
+
+    /// One turn in which just these are ready, in this order. Each is waited for, however long the kernel takes.
+    fn turn(&mut self, sources: &[Source]) {
+        self.the.settle();
+        let mut ready: Vec<Ready> = sources.iter().map(|source| self.wait(*source)).collect();
+        self.the.gather(&mut ready);
+        self.the.settle();
+    }
+
+    fn wait(&mut self, source: Source) -> Ready {
+        let asked = Instant::now();
+        while asked.elapsed() < PATIENCE {
+            let mut ready = Vec::new();
+            self.the.poll.wait(&mut self.events, Some(Duration::from_millis(1)), &mut ready).unwrap();
+            if let Some(one) = ready.into_iter().find(|one| one.source == source) {
+                return one;
+            }
+        }
+        panic!("{source:?} does not become ready")
+    }
+
+    /// Turns without a socket until this is so.
+    fn until(&mut self, is_so: impl Fn(&EventLoop) -> bool) {
+        let asked = Instant::now();
+        while !is_so(&self.the) {
+            assert!(asked.elapsed() < PATIENCE, "it does not come about");
+            self.turn(&[]);
+        }
+    }
+
+    /// A cache's next connection.
+    fn accept(&self, cache: usize) -> TcpStream {
+        let stream = self.caches[cache].accept().unwrap().0;
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream
+    }
+
+    /// Which cache the next connection goes to, and that.
+    fn next(&self) -> (usize, TcpStream) {
+        let asked = Instant::now();
+        while asked.elapsed() < PATIENCE {
+            for (number, cache) in self.caches.iter().enumerate() {
+                cache.set_nonblocking(true).unwrap();
+                let next = cache.accept();
+                cache.set_nonblocking(false).unwrap();
+                if let Ok((stream, _)) = next {
+                    stream.set_nonblocking(false).unwrap();
+                    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+                    return (number, stream);
+                }
+            }
+        }
+        panic!("no cache is asked")
+    }
+
+    fn answers(&mut self, client: usize, want: &str) {
+        let mut got = vec![0; want.len()];
+        self.clients[client].read_exact(&mut got).unwrap();
+        assert_eq!(String::from_utf8_lossy(&got), want);
+    }
+
+    fn news(&mut self, text: &str) {
+        let (mut watch, _) = self.discovery.accept().unwrap();
+        write!(watch, "HTTP/1.1 200 OK\r\n\r\n{text}\n").unwrap();
+        // As an agent does that goes on: the connection stays.
+        std::mem::forget(watch);
+    }
+}
+
+/// What comes on a connection before it ends.
+fn rest(stream: &mut TcpStream) -> String {
+    let mut text = Vec::new();
+    match stream.read_to_end(&mut text) {
+        Ok(_) => {}
+        Err(e) if e.kind() == io::ErrorKind::ConnectionReset => {}
+        Err(e) => panic!("it does not end: {e}"),
+    }
+    String::from_utf8(text).unwrap()
+}
+
+/// A whole command, as it comes to a cache.
+fn command(stream: &mut TcpStream) -> String {
+    let mut text = Vec::new();
+    while crate::resp::read_command(&text).unwrap().is_none() {
+        let mut byte = [0];
+        assert_eq!(stream.read(&mut byte).unwrap(), 1, "after {}", text.escape_ascii());
+        text.push(byte[0]);
+    }
+    String::from_utf8(text).unwrap()
+}
+
+const FIRST: Source = Source::Peer(0);
+const SECOND: Source = Source::Peer(1);
+const CLIENT: Source = Source::Client(0);
+
+#[rstest]
+fn who_left_while_the_connection_was_late_is_not_sent_on(
+    #[values(true, false)] cancel: bool,
+    #[values(true, false)] reset: bool,
+    #[values("read", "put", "once")] class: &str,
+) {
+    let mut s = Stage::set(Given { cancel, ..GIVEN });
+    s.ask(class, 50_000);
+    let mut cache = s.accept(0);
+    let client = s.clients.pop().unwrap();
+    if reset {
+        SockRef::from(&client).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+    drop(client);
+    s.turn(&[CLIENT]);
+    if !cancel {
+        s.turn(&[FIRST]);
+    }
+    assert_eq!(rest(&mut cache), "");
+    assert_eq!((s.the.counters.gone, s.the.counters.left_unsent), (1, 1));
+    assert!(s.the.counters.left_unsent_ms < 300, "as long as the connection took");
+    assert_eq!(s.the.tries.open(), 0);
+}
+
+#[test]
+fn who_leaves_in_the_turn_of_the_outcome_that_would_have_it_sent_again_is_not() {
+    let mut s = Stage::set(Given { caches: 2, ..GIVEN });
+    s.ask("read", 50_000);
+    s.turn(&[FIRST]);
+    let (_, mut cache) = s.next();
+    command(&mut cache);
+    cache.write_all(b"-BUSY\r\n").unwrap();
+    drop(s.clients.pop());
+    s.turn(&[FIRST, CLIENT]);
+    assert_eq!((s.the.counters.try_full, s.the.counters.peers_opened, s.the.tries.open()), (1, 1, 0));
+}
+
+#[test]
+fn a_thousand_who_leave_in_one_turn_are_all_forgotten() {
+    let mut s = Stage::set(GIVEN);
+    for client in 0..8 {
+        s.client();
+        let ask = |n| write_command(&[b"C.GET", b"a", format!("{client}-{n}").as_bytes(), b"c=read,d=50000"]);
+        let asks: Vec<u8> = (0..125).flat_map(ask).collect();
+        s.clients[client].write_all(&asks).unwrap();
+        s.turn(&[Source::Client(client as u64)]);
+    }
+    assert_eq!(s.the.tries.open(), 1_000);
+    assert!(s.the.counters.tries < 100, "most are held: {}", s.the.counters.tries);
+    s.clients.clear();
+    let all: Vec<Source> = (0..8).map(Source::Client).collect();
+    s.turn(&all);
+    let tries = s.the.counters.tries;
+    assert_eq!((s.the.tries.open(), s.the.tries.held(), s.the.counters.gone), (0, 0, 1_000));
+    let asked = s.the.clock.now();
+    // The module releases what it holds ten times a second.
+    while s.the.clock.now() < asked + 300 * MS {
+        s.turn(&[]);
+    }
+    assert_eq!(s.the.counters.tries, tries, "none is sent later");
+}
+
+#[test]
+fn a_copy_whose_connection_comes_up_behind_the_answer_is_not_sent() {
+    let mut s = Stage::set(Given { caches: 2, ..GIVEN });
+    // The copy is due after half of this.
+    s.ask("read", 1_000);
+    s.turn(&[FIRST]);
+    let (_, mut first) = s.next();
+    s.until(|the| the.counters.copies == 1);
+    let (_, mut second) = s.next();
+    command(&mut first);
+    first.write_all(b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n").unwrap();
+    s.turn(&[FIRST, SECOND]);
+    assert_eq!(rest(&mut second), "");
+    s.answers(0, "$1\r\nv\r\n");
+    assert_eq!((s.the.counters.served, s.the.tries.open()), (1, 0));
+}
+
+#[test]
+fn a_connection_that_comes_up_in_the_turn_of_the_deadline_is_not_used() {
+    let mut s = Stage::set(GIVEN);
+    s.ask("once", 40);
+    let mut cache = s.accept(0);
+    let up = s.wait(FIRST);
+    let asked = s.the.clock.now();
+    while s.the.clock.now() < asked + 60 * MS {}
+    s.the.gather(&mut vec![up]);
+    s.the.settle();
+    assert_eq!(rest(&mut cache), "");
+    assert_eq!(s.the.tries.open(), 0, "answered as well");
+    s.answers(0, "-");
+}
+
+#[test]
+fn a_late_connection_is_told_the_time_that_is_left() {
+    let mut s = Stage::set(GIVEN);
+    s.ask("read", 50_000);
+    let mut cache = s.accept(0);
+    let asked = s.the.clock.now();
+    while s.the.clock.now() < asked + 50 * MS {}
+    s.turn(&[FIRST]);
+    let text = command(&mut cache);
+    let d = text.trim_end().rsplit_once("d=").expect("a field").1.parse::<u64>().unwrap();
+    assert!(d <= 49_950, "{d}");
+}
+
+#[test]
+fn a_keyed_write_is_not_repeated_once_its_window_has_ended_while_the_connection_was_late() {
+    let mut s = Stage::set(Given { window_ms: 2_000, ..GIVEN });
+    s.ask("put", 50_000);
+    s.turn(&[FIRST]);
+    let mut cache = s.accept(0);
+    let asked = s.the.clock.now();
+    command(&mut cache);
+    // It may have run: a repeat is lawful for as long as the caches discard it.
+    drop(cache);
+    s.turn(&[FIRST]);
+    assert_eq!(
+        (s.the.counters.try_reset, s.the.counters.peers_opened),
+        (1, 2),
+        "within the window it is sent again"
+    );
+    let mut cache = s.accept(0);
+    let up = s.wait(SECOND);
+    while s.the.clock.now() < asked + 2_000 * MS {}
+    s.the.gather(&mut vec![up]);
+    s.the.settle();
+    assert_eq!(rest(&mut cache), "");
+    s.answers(0, "-");
+}
+
+#[test]
+fn what_was_decided_before_a_drain_was_told_does_not_open_a_connection_behind_it() {
+    let mut s = Stage::set(Given { caches: 2, ..GIVEN });
+    s.ask("read", 50_000);
+    s.turn(&[FIRST]);
+    let (first, mut cache) = s.next();
+    command(&mut cache);
+    cache.write_all(b"-BUSY\r\n").unwrap();
+    let other = 1 - first;
+    s.turn(&[Source::Discovery(0)]);
+    let drains = json!({"seq": 8, "hosts": [
+        {"host": format!("s-{other}"), "dial": local(&s.caches[other]), "health": "terminating"}]});
+    s.news(&drains.to_string());
+    // The outcome, by which the other is asked next, and behind it the news that it drains.
+    s.turn(&[FIRST, Source::Discovery(0)]);
+    assert_eq!((s.the.counters.try_full, s.the.counters.list_news), (1, 1));
+    s.caches[other].set_nonblocking(true).unwrap();
+    assert!(s.caches[other].accept().is_err(), "no connection to the one that drains");
+}
+
+#[rstest]
+fn a_job_on_its_way_to_a_former_address_ends_there(#[values(false, true)] up: bool) {
+    let mut s = Stage::set(Given { caches: 1, ..GIVEN });
+    s.ask("read", 50_000);
+    let mut former = s.accept(0);
+    if up {
+        s.turn(&[FIRST]);
+        command(&mut former);
+    }
+    s.caches.push(TcpListener::bind("127.0.0.1:0").unwrap());
+    s.turn(&[Source::Discovery(0)]);
+    let moved = json!({"seq": 8, "hosts": [{"host": "s-0", "dial": local(&s.caches[1])}]});
+    s.news(&moved.to_string());
+    s.turn(&[Source::Discovery(0)]);
+    if up {
+        // What has begun there may end there, but the connection carries nothing more.
+        former.write_all(b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n").unwrap();
+        s.turn(&[FIRST]);
+        s.answers(0, "$1\r\nv\r\n");
+    }
+    assert_eq!(rest(&mut former), "");
+    if up {
+        s.ask("read", 50_000);
+    }
+    let mut cache = s.accept(1);
+    s.turn(&[SECOND]);
+    assert!(command(&mut cache).contains("C.GET"));
+}
+
+#[test]
+fn a_try_that_ran_out_of_time_before_it_was_sent_never_ran() {
+    let mut s = Stage::set(Given { window_ms: 100, ..GIVEN });
+    // A keyed write's first try has three quarters of the window.
+    s.ask("put", 50_000);
+    let _cache = s.accept(0);
+    s.until(|the| the.counters.try_timeout + the.counters.try_connect_failed > 0);
+    assert_eq!((s.the.counters.try_timeout, s.the.counters.try_connect_failed), (0, 1));
+}
+
+#[test]
+fn what_an_end_takes_is_answered_before_the_process_is_killed() {
+    let mut s = Stage::set(GIVEN);
+    let now = s.the.clock.now();
+    s.the.stop(now);
+    s.ask("read", 80_000);
+    s.turn(&[FIRST]);
+    let mut cache = s.accept(0);
+    let text = command(&mut cache);
+    let d = text.trim_end().rsplit_once("d=").expect("a field").1.parse::<u64>().unwrap();
+    assert!(d <= 3_600, "{d}: the process is killed 3.7 s after the request to stop at the earliest");
+}
--- a/crates/pipitrun/src/front/resp.rs
+++ b/crates/pipitrun/src/front/resp.rs
@@ -2,14 +2,14 @@
 
 use crate::counters::Counters;
 use crate::life_cycle::{Door, Stance};
-use crate::poll::{Poll, Ready, Source, Watched, discard, is_silent};
+use crate::poll::{Poll, Ready, Source, Watched, discard, has_ended, is_silent};
 use crate::request::{FinalAnswer, Incoming, Order, Ticket};
 use crate::resp::{self, VALUE_MAX, read_command};
 use crate::timers::MS;
 use finchyard::{Nanos, RequestId};
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::ops::Range;
 
 /// Commands of one connection that may wait for their answers; the next ones stay unread.
@@ -22,8 +22,11 @@
 const READ_SIZE: usize = 32 * 1024;
 /// Unread commands are kept up to this size: one with the longest value always fits.
 const INPUT_MAX: usize = resp::MESSAGE_MAX;
-/// Of what comes behind a command that can't be read this much is taken before the connection is closed.
+/// Of what comes behind a command that can't be read this much is taken at a time; who sends faster is closed at once.
 const DISCARD_MAX: usize = 256 * 1024;
+/// A client to whom nothing more is sent has this long to take what it was answered and to close: a far one needs a round
+/// trip, a slow one some more.
+const LEAVE: Nanos = 1_000 * MS;
 /// At most this many connections are taken in one turn of the loop: a flood of them must not hold up the rest.
 const ACCEPT_MAX: usize = 64;
 /// A client that takes none of its answer for this long is given up.
@@ -96,6 +99,8 @@
     since: Nanos,
     /// It has sent something whole.
     spoken: bool,
+    /// Nothing more is sent on it: it is closed when the client has closed, or by this time.
+    leaves: Option<Nanos>,
 }
 
 impl ClientConnection {
@@ -104,12 +109,17 @@
     }
 
     fn takes_commands(&self) -> bool {
-        !self.last && self.places.len() < OWED_MAX && self.unsent() < UNSENT_MAX
+        !self.last && self.leaves.is_none() && self.places.len() < OWED_MAX && self.unsent() < UNSENT_MAX
     }
 
     /// Between requests: nothing owed, nothing begun, nothing unsent.
     fn is_idle(&self) -> bool {
-        self.places.is_empty() && self.unsent() == 0 && self.input.is_empty()
+        self.leaves.is_none() && self.places.is_empty() && self.unsent() == 0 && self.input.is_empty()
+    }
+
+    /// Whether it is watched for reading, which also shows its end.
+    fn is_read(&self) -> bool {
+        self.leaves.is_none() && !self.last && self.input.len() < INPUT_MAX && self.unsent() < UNSENT_MAX
     }
 }
 
@@ -216,6 +226,7 @@
                             active: now,
                             since: now,
                             spoken: false,
+                            leaves: None,
                         },
                     );
                 }
@@ -244,25 +255,31 @@
 
     /// Closes the connection that has been idle longest, if one is. One that was just taken, or on which something
     /// waits to be read, is not idle: in a rush of newcomers each would be closed for the next, its request unread.
-    /// Those on which nothing ever came go first, or clients that say nothing would push out those that do.
+    /// Those that leave anyway go first, then those on which nothing ever came, or clients that say nothing would push
+    /// out those that do.
     fn make_room(&mut self, now: Nanos, counters: &mut Counters) -> bool {
         let mute = self.connections.values().filter(|c| !c.spoken && c.input.is_empty()).count();
         let spoken_least = if mute > self.most / MUTE_PART { IDLE_CROWDED } else { IDLE_FULL };
         // In this order; whether something waits to be read is asked last, for it is a system call.
         let rank = |c: &ClientConnection| {
+            if c.leaves.is_some() {
+                return Some(0);
+            }
             let still = now.saturating_sub(c.active);
             if !c.is_idle() {
-                (c.places.is_empty() && !c.input.is_empty() && still >= HALF_LEAST).then_some(2)
+                (c.places.is_empty() && !c.input.is_empty() && still >= HALF_LEAST).then_some(3)
             } else if c.spoken {
-                (still >= spoken_least).then_some(1)
+                (still >= spoken_least).then_some(2)
             } else {
-                (still >= MUTE_LEAST).then_some(0)
+                (still >= MUTE_LEAST).then_some(1)
             }
         };
         let ranked = self.connections.iter().filter_map(|(n, c)| Some((rank(c)?, c.active, *n)));
         let mut ranked: Vec<(u8, Nanos, u64)> = ranked.collect();
         ranked.sort_unstable();
-        let silent = |n: &u64| self.connections.get(n).is_some_and(|c| is_silent(c.stream.socket()));
+        let silent = |n: &u64| {
+            self.connections.get(n).is_some_and(|c| c.leaves.is_some() || is_silent(c.stream.socket()))
+        };
         let number = ranked.into_iter().map(|(.., number)| number).find(silent);
         let Some(number) = number else { return false };
         self.remove(number, counters, &mut Vec::new());
@@ -282,9 +299,16 @@
 
     fn read(&mut self, number: u64, now: Nanos, events: &mut Vec<FrontEvent>, counters: &mut Counters) {
         let Some(c) = self.connections.get_mut(&number) else { return };
-        if c.input.len() >= INPUT_MAX {
-            // Not watched for reading, so this is a broken connection: nothing more can be answered on it.
-            return self.remove(number, counters, events);
+        if c.leaves.is_some() {
+            return self.leaving(number, counters, events);
+        }
+        if !c.is_read() {
+            // Not watched for reading: it is broken, and nothing more can be answered on it. Or it was watched when this
+            // turn began.
+            if has_ended(c.stream.socket()) {
+                self.remove(number, counters, events);
+            }
+            return;
         }
         let most = READ_SIZE.min(INPUT_MAX - c.input.len());
         match c.stream.socket().read(&mut self.scratch[..most]) {
@@ -307,8 +331,6 @@
     /// Takes the whole commands that have come, as many as may wait for their answers.
     fn parse(&mut self, number: u64, now: Nanos, events: &mut Vec<FrontEvent>, counters: &mut Counters) {
         let Some(c) = self.connections.get_mut(&number) else { return };
-        // One that has taken nothing yet may still ask; one that never ends must not keep its place for good.
-        c.last |= !self.stance.takes && c.spoken;
         let mut at = 0;
         while c.takes_commands() {
             match read_command(&c.input[at..]) {
@@ -316,9 +338,17 @@
                 Ok(Some((words, length))) => {
                     let input = &c.input[at..at + length];
                     at += length;
+                    // One that has taken nothing yet may still ask; one that never ends must not keep its place for good.
+                    // What has come there all the same is answered, or it would be lost.
+                    let takes = self.stance.takes || !c.spoken;
                     (c.spoken, c.since) = (true, now);
                     let ticket = Ticket { request: RequestId(self.next_request), connection: number };
                     match command(input, &words, ticket, self.stance) {
+                        Taken::Request(_) if !takes => {
+                            counters.refused += 1;
+                            c.places
+                                .push_back(Place::Answered(encode(FinalAnswer::Refused { retry_after: 0 })));
+                        }
                         Taken::Request(incoming) => {
                             self.next_request += 1;
                             c.places.push_back(Place::Waiting(incoming.ticket.request));
@@ -464,12 +494,15 @@
                 *held_back = false;
                 events.push(FrontEvent::Room(*request));
             }
-            let done = c.last || self.stance.closes_idle && c.input.is_empty();
-            if done && c.places.is_empty() && c.unsent() == 0 {
-                if c.last {
-                    discard(c.stream.socket(), DISCARD_MAX);
-                }
-                return self.remove(number, counters, events);
+            if c.leaves.is_some() {
+                return;
+            }
+            // Half a command is no reason to stay once none is taken.
+            let half_stays = self.stance.takes || !c.spoken;
+            let done = c.last || self.stance.closes_idle && (c.input.is_empty() || !half_stays);
+            let whole = || matches!(read_command(&c.input), Ok(Some(_)) | Err(_));
+            if done && c.places.is_empty() && c.unsent() == 0 && (c.last || !whole()) {
+                return self.leave(number, now, counters, events);
             }
             // Commands that were left unread because too much was owed may go on now.
             let before = c.places.len();
@@ -482,8 +515,7 @@
                 continue;
             }
             // While answers are owed the end of the connection is still of interest: the client has gone.
-            let read = c.input.len() < INPUT_MAX && !c.last && c.unsent() < UNSENT_MAX;
-            let write = c.unsent() > 0;
+            let (read, write) = (c.is_read(), c.unsent() > 0);
             if c.stream.interest(read, write).is_err() {
                 self.remove(number, counters, events);
             }
@@ -491,6 +523,42 @@
         }
     }
 
+    /// Ends a connection on which nothing is owed. Closing over bytes that are unread, or that still come, resets it, and
+    /// what was just answered may be destroyed on its way. So at first only our sending ends.
+    fn leave(&mut self, number: u64, now: Nanos, counters: &mut Counters, events: &mut Vec<FrontEvent>) {
+        let Some(c) = self.connections.get_mut(&number) else { return };
+        if !c.spoken && !c.last {
+            // Nothing was ever answered on it.
+            return self.remove(number, counters, events);
+        }
+        c.leaves = Some(now + LEAVE);
+        c.input = Vec::new();
+        if c.stream.socket().shutdown(Shutdown::Write).is_err() || c.stream.interest(true, false).is_err() {
+            return self.remove(number, counters, events);
+        }
+        self.leaving(number, counters, events);
+    }
+
+    /// Takes what still comes on a connection that leaves, where its framing is lost. A command that can be read stays
+    /// unread: whoever sent it is told by the reset, and sends it elsewhere.
+    fn leaving(&mut self, number: u64, counters: &mut Counters, events: &mut Vec<FrontEvent>) {
+        let Some(c) = self.connections.get_mut(&number) else { return };
+        let socket = c.stream.socket();
+        let stays = if c.last {
+            discard(socket, DISCARD_MAX)
+        } else {
+            match socket.peek(&mut [0]) {
+                Ok(0) => false,
+                // From now on its end is looked for in the sweep.
+                Ok(_) => !has_ended(socket) && c.stream.interest(false, false).is_ok(),
+                Err(e) => e.kind() == ErrorKind::WouldBlock,
+            }
+        };
+        if !stays {
+            self.remove(number, counters, events);
+        }
+    }
+
     /// Closes a connection; whoever waited on it has gone.
     fn remove(&mut self, number: u64, counters: &mut Counters, events: &mut Vec<FrontEvent>) {
         let Some(c) = self.connections.remove(&number) else { return };
@@ -512,6 +580,17 @@
         for number in stuck {
             self.remove(number, counters, events);
         }
+        // Where nothing is read, for too much is owed or too much has come, no read shows the end.
+        let left = |c: &ClientConnection| match c.leaves {
+            Some(until) => now >= until || has_ended(c.stream.socket()),
+            None => !c.is_read() && has_ended(c.stream.socket()),
+        };
+        let left: Vec<u64> = self.connections.iter().filter(|(_, c)| left(c)).map(|(n, _)| *n).collect();
+        for number in left {
+            let waits = |c: &ClientConnection| c.leaves.is_none() && !c.places.is_empty();
+            counters.left_unread += u64::from(self.connections.get(&number).is_some_and(waits));
+            self.remove(number, counters, events);
+        }
         // A client that says nothing, or half a command, must hold neither place nor memory for good.
         let unfinished = |c: &ClientConnection| {
             !(c.spoken && c.input.is_empty())
@@ -531,10 +610,11 @@
                 c.last = true;
                 self.flush(number, now, events, counters);
             } else {
-                self.remove(number, counters, events);
+                self.leave(number, now, counters, events);
             }
         }
-        let crowded = self.connections.len() > self.most / 2;
+        let stay = self.connections.values().filter(|c| c.leaves.is_none()).count();
+        let crowded = stay > self.most / 2;
         let most = match (self.stance.closes_idle, crowded) {
             (true, _) => IDLE_CLOSING,
             (false, true) => IDLE_CROWDED,
@@ -545,7 +625,7 @@
         };
         let mut done: Vec<u64> = self.connections.iter().filter(|(_, c)| done(c)).map(|(n, _)| *n).collect();
         let most = self.most * CROWD / 100;
-        let beyond = self.connections.len().saturating_sub(done.len()).saturating_sub(most);
+        let beyond = stay.saturating_sub(done.len()).saturating_sub(most);
         let idle = |c: &ClientConnection| {
             c.spoken
                 && c.is_idle()
@@ -560,7 +640,7 @@
         }
         for number in done {
             counters.clients_idle += 1;
-            self.remove(number, counters, events);
+            self.leave(number, now, counters, events);
         }
         // Also at the limit: connections that were at work when the door was shut may be idle by now, and a
         // newcomer would wait for good if only a client's leaving could open it again.
@@ -580,7 +660,11 @@
             return;
         }
         if stance.door == Door::Closed {
-            self.accept(now, counters);
+            // As many as wait, in several turns' worth; those that are taken are too new to make room, so `most` is the end.
+            let mut before = None;
+            while before.replace(counters.clients_accepted) != Some(counters.clients_accepted) {
+                self.accept(now, counters);
+            }
         }
         self.stance = stance;
         if matches!(stance.door, Door::Closed | Door::Left) {
--- a/crates/pipitrun/src/front/resp/tests.rs
+++ b/crates/pipitrun/src/front/resp/tests.rs
@@ -1,6 +1,9 @@
 //! Client connections: who is let in, kept, heard and sent away, and answers in order and in parts.
 
 use super::*;
+use rstest::rstest;
+use socket2::SockRef;
+use std::time::Duration;
 
 const SERVING: Stance =
     Stance { state: "serving", ready: true, door: Door::Open, closes_idle: false, takes: true };
@@ -15,6 +18,11 @@
     (front, move || TcpStream::connect(address).expect("it takes clients"))
 }
 
+/// The connections that do not leave: to the others nothing more is sent, and they close once the client has.
+fn staying(front: &RespFront) -> Vec<u64> {
+    front.connections.iter().filter(|(_, c)| c.leaves.is_none()).map(|(number, _)| *number).collect()
+}
+
 #[test]
 fn a_newcomer_does_not_push_out_a_client_whose_request_is_unread() {
     let (mut front, connect) = front(1);
@@ -57,16 +65,21 @@
     front.sweep(UNFINISHED - 1, &mut events, &mut counters);
     assert_eq!(front.connections.len(), 4);
     front.sweep(UNFINISHED, &mut events, &mut counters);
-    assert_eq!((front.connections.len(), counters.clients_unfinished), (2, 2), "one is only unread");
+    assert_eq!((staying(&front), counters.clients_unfinished), (vec![2, 3], 2), "one is only unread");
     drop(front.connections.remove(&3));
     let mut text = String::new();
     clients[1].read_to_string(&mut text).unwrap();
     assert_eq!(text, "-ERR the command did not end in time\r\n");
     front.sweep(IDLE, &mut events, &mut counters);
-    assert_eq!((front.connections.len(), counters.clients_idle), (1, 0), "not yet");
+    assert_eq!((staying(&front), counters.clients_idle), (vec![2], 0), "not yet");
     front.set_most(1);
     front.sweep(IDLE, &mut events, &mut counters);
-    assert_eq!((front.connections.len(), counters.clients_idle), (0, 1), "crowded");
+    assert_eq!((staying(&front), counters.clients_idle), (vec![], 1), "crowded");
+    // Their clients do not close: their time ends it.
+    front.sweep(IDLE + LEAVE - 1, &mut events, &mut counters);
+    assert_eq!(front.connections.keys().copied().collect::<Vec<_>>(), [2]);
+    front.sweep(IDLE + LEAVE, &mut events, &mut counters);
+    assert!(front.is_empty());
 }
 
 #[test]
@@ -82,7 +95,7 @@
     front.ready(UNFINISHED - 1, ready, &mut events, &mut counters);
     for (now, open) in [(2 * UNFINISHED - 2, true), (2 * UNFINISHED - 1, false)] {
         front.sweep(now, &mut events, &mut counters);
-        assert_eq!(front.connections.len(), usize::from(open), "{now}");
+        assert_eq!(staying(&front).len(), usize::from(open), "{now}");
     }
 }
 
@@ -102,7 +115,7 @@
     front.sweep(IDLE_LEAST - 1, &mut events, &mut counters);
     assert_eq!(front.connections.len(), 6, "not at once");
     front.sweep(IDLE_LEAST + 9, &mut events, &mut counters);
-    assert_eq!(front.connections.keys().copied().collect::<Vec<_>>(), [2, 3, 4, 5]);
+    assert_eq!(staying(&front), [2, 3, 4, 5]);
 }
 
 #[test]
@@ -209,10 +222,13 @@
         front.answer(incoming.ticket, FinalAnswer::Failed);
         front.flush(1, IDLE_CLOSING + 5, &mut Vec::new(), &mut counters);
     }
-    assert!(front.is_empty());
+    assert!(staying(&front).is_empty());
     let mut text = String::new();
     endless.read_to_string(&mut text).unwrap();
-    assert_eq!(text, "-ERR failed\r\n".repeat(2));
+    assert_eq!(text, "-ERR failed\r\n".repeat(2) + "-BUSY\r\n", "what came too late is answered too");
+    drop(endless);
+    front.ready(IDLE_CLOSING + 6, ready, &mut events, &mut counters);
+    assert!(front.is_empty());
 }
 
 /// A front with two requests taken on one connection, and that connection.
@@ -307,3 +323,135 @@
         assert_eq!(incoming.order.fields[1], ("h".to_string(), h.to_string()));
     }
 }
+
+/// How a connection comes to be read no more while an answer is owed on it.
+#[derive(Clone, Copy, Debug)]
+enum Unread {
+    Garbled,
+    Full,
+    Owed,
+}
+
+#[rstest]
+fn a_client_that_leaves_while_its_connection_is_not_read_is_noticed_all_the_same(
+    #[values(Unread::Garbled, Unread::Full, Unread::Owed)] unread: Unread,
+    #[values(false, true)] reset: bool,
+) {
+    let (mut front, connect) = front(9);
+    let (mut counters, mut events) = (Counters::default(), Vec::new());
+    let mut client = connect();
+    front.accept(0, &mut counters);
+    let command = resp::write_command(&[b"C.GET", b"a", b"1", b"c=read,d=9"]);
+    let taken = match unread {
+        Unread::Garbled => {
+            client.write_all(&[&command[..], b"*x\r\n"].concat()).unwrap();
+            1
+        }
+        // Behind the most that may be owed more has come than is kept, and the rest is in the socket.
+        Unread::Full => {
+            client.write_all(&command.repeat(OWED_MAX + INPUT_MAX / command.len() + 100)).unwrap();
+            OWED_MAX
+        }
+        Unread::Owed => {
+            client.write_all(&command).unwrap();
+            1
+        }
+    };
+    let ready = Ready { source: Source::Client(0), readable: true, writable: false };
+    while front.connections[&0].is_read() {
+        front.ready(0, ready, &mut events, &mut counters);
+        if matches!(unread, Unread::Owed) {
+            // More is unsent than a client may leave untaken.
+            front.connections.get_mut(&0).unwrap().output = vec![0; UNSENT_MAX];
+        }
+    }
+    assert_eq!(events.drain(..).count(), taken);
+    front.sweep(1, &mut events, &mut counters);
+    assert_eq!((events.len(), counters.left_unread), (0, 0), "it is still there");
+    if reset {
+        SockRef::from(&client).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+    drop(client);
+    front.sweep(2, &mut events, &mut counters);
+    assert!(events.iter().all(|event| matches!(event, FrontEvent::Gone(_))));
+    assert_eq!((events.len(), counters.left_unread, front.is_empty()), (taken, 1, true));
+}
+
+/// Why a connection is closed behind an answer.
+#[derive(Clone, Copy, Debug)]
+enum Close {
+    Garbled,
+    Drain,
+    NoLongerTaken,
+}
+
+#[rstest]
+fn every_byte_of_an_answer_comes_though_more_is_sent_behind_the_close(
+    #[values(Close::Garbled, Close::Drain, Close::NoLongerTaken)] close: Close,
+) {
+    let (mut front, connect) = front(9);
+    let (mut counters, mut events) = (Counters::default(), Vec::new());
+    let mut client = connect();
+    // It takes little at a time: most of the answer is still on its way when the connection is closed.
+    SockRef::from(&client).set_recv_buffer_size(4_096).unwrap();
+    front.accept(0, &mut counters);
+    let command = resp::write_command(&[b"C.GET", b"a", b"1", b"c=read,d=9"]);
+    let behind: &[u8] = if matches!(close, Close::Garbled) { b"*x\r\n" } else { b"" };
+    client.write_all(&[&command[..], behind].concat()).unwrap();
+    let ready = Ready { source: Source::Client(0), readable: true, writable: true };
+    front.ready(0, ready, &mut events, &mut counters);
+    let Some(FrontEvent::Request(incoming)) = events.pop() else { panic!("it is taken") };
+    front.answer(incoming.ticket, FinalAnswer::Served(vec![b'v'; VALUE_MAX]));
+    front.flush(0, 0, &mut events, &mut counters);
+    match close {
+        Close::Garbled => {}
+        Close::Drain => front.follow(CLOSING, 1, &mut events, &mut counters),
+        Close::NoLongerTaken => {
+            front.follow(Stance { takes: false, ..CLOSING }, 1, &mut events, &mut counters)
+        }
+    }
+    // What crosses the close: it is not read as a command any more.
+    client.write_all(&command.repeat(3)).unwrap();
+    let mut got = Vec::new();
+    client.set_read_timeout(Some(Duration::from_millis(1))).unwrap();
+    let mut now = 1;
+    let end = loop {
+        // The kernel sends on as the client takes what has come; the loop has its turns meanwhile.
+        front.ready(now, ready, &mut events, &mut counters);
+        now += LEAVE / 100_000;
+        front.sweep(now, &mut events, &mut counters);
+        let mut some = [0; 2_048];
+        match client.read(&mut some) {
+            Ok(0) => break Ok(()),
+            Ok(n) => got.extend_from_slice(&some[..n]),
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+            Err(e) => break Err(e.kind()),
+        }
+    };
+    let error = if behind.is_empty() { 0 } else { b"-ERR ".len() };
+    assert!(
+        got.len() >= format!("${VALUE_MAX}\r\n").len() + VALUE_MAX + 2 + error,
+        "{} came: {end:?}",
+        got.len()
+    );
+    assert_eq!(end, Ok(()), "and the end behind it");
+    assert!(events.is_empty(), "{events:?}");
+}
+
+#[test]
+fn all_who_wait_at_the_door_when_it_closes_are_let_in_and_answered() {
+    let (mut front, connect) = front(200);
+    let (mut counters, mut events) = (Counters::default(), Vec::new());
+    // More than one turn takes.
+    let mut clients: Vec<TcpStream> = (0..ACCEPT_MAX + 36).map(|_| connect()).collect();
+    for client in &mut clients {
+        client.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+    }
+    front.follow(Stance { door: Door::Closed, ..CLOSING }, 0, &mut events, &mut counters);
+    assert_eq!(counters.clients_accepted, 100);
+    for mut client in clients {
+        let mut text = String::new();
+        client.read_to_string(&mut text).unwrap();
+        assert_eq!(text, "-LOADING serving\r\n");
+    }
+}
--- a/crates/pipitrun/src/life_cycle.rs
+++ b/crates/pipitrun/src/life_cycle.rs
@@ -6,13 +6,20 @@
 /// How long client connections stay open in a drain: a front that asks ten times a second and takes 0.2 s to turn away
 /// has done so by then, and whoever is sent away sooner only comes back.
 const TURN_AWAY: Nanos = 400 * MS;
-/// How long new connections are taken after a request to stop: they keep coming for up to 0.4 s.
+/// How long new connections are taken after a request to stop: they keep coming for up to 0.4 s. By the protocol what comes
+/// later than this must be answered before the process is killed.
 const ACCEPT_ON: Nanos = 700 * MS;
 
 /// How long commands are taken from a connection that is to close, as long as it never stands idle: who sends without
-/// end would keep it open for good.
+/// end would keep it open for good. An end may leave less time.
 const TAKE_ON: Nanos = 1_500 * MS;
 
+/// By the protocol a process is killed no sooner than `ACCEPT_ON` and the longest deadline after the request to stop; a
+/// deadline that is longer than this counts as this.
+const DEADLINE_MOST: Nanos = 3_000 * MS;
+/// All that is taken in an end is answered this long before that.
+const KILL_MARGIN: Nanos = 100 * MS;
+
 /// What becomes of those who connect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Door {
@@ -69,6 +76,8 @@
     other_serves: bool,
     /// What it knows is waited for.
     waits: bool,
+    /// How long after a request to stop the last answer is given.
+    last_answer: Nanos,
 }
 
 /// Why a call of the operators changes nothing.
@@ -76,9 +85,28 @@
 pub struct Conflict;
 
 impl LifeCycle {
-    /// A process that has just started, on a socket that is its own or shared.
-    pub fn new(shared: bool) -> Self {
-        LifeCycle { state: State::Starting { listed: false }, shared, other_serves: false, waits: false }
+    /// A process that has just started, on a socket that is its own or shared; the longest time that a client waits for
+    /// an answer.
+    pub fn new(shared: bool, longest_deadline: Nanos) -> Self {
+        let last_answer = longest_deadline.min(DEADLINE_MOST) + ACCEPT_ON - KILL_MARGIN;
+        let state = State::Starting { listed: false };
+        LifeCycle { state, shared, other_serves: false, waits: false, last_answer }
+    }
+
+    /// By when what is taken now is answered, whatever its client's patience: the process may be killed then.
+    pub fn answer_by(&self) -> Option<Nanos> {
+        match self.state {
+            State::Ending { since } => Some(since + self.last_answer),
+            _ => None,
+        }
+    }
+
+    /// How long commands are taken from a connection that is to close.
+    fn take_on(&self) -> Nanos {
+        match self.state {
+            State::Ending { .. } => TAKE_ON.min(self.last_answer),
+            _ => TAKE_ON,
+        }
     }
 
     /// Whether another process that shares the socket serves clients.
@@ -165,7 +193,7 @@
             State::Ending { since } if now < since + ACCEPT_ON => (Door::Open, true),
             State::Ending { .. } => (Door::Closed, true),
         };
-        let takes = self.since().is_none_or(|since| now < since + TAKE_ON);
+        let takes = self.since().is_none_or(|since| now < since + self.take_on());
         Stance { state: self.name(), ready: self.is_ready(), door, closes_idle, takes }
     }
 
@@ -180,7 +208,9 @@
     /// When, if at all, something changes by time alone.
     pub fn due(&self, now: Nanos) -> Option<Nanos> {
         let since = self.since()?;
-        [TURN_AWAY, ACCEPT_ON, TAKE_ON].into_iter().map(|part| since + part).find(|at| *at > now)
+        let mut parts = [TURN_AWAY, ACCEPT_ON, self.take_on()];
+        parts.sort_unstable();
+        parts.into_iter().map(|part| since + part).find(|at| *at > now)
     }
 
     /// Whether the process may end, with or without clients connected.
@@ -197,6 +227,9 @@
     use proptest::prelude::*;
     use proptest::test_runner::RngSeed;
 
+    /// Long enough to leave all other times as they are.
+    const LONGEST: Nanos = DEADLINE_MOST;
+
     #[derive(Clone, Copy, Debug)]
     enum Step {
         Listed,
@@ -206,7 +239,7 @@
     }
 
     fn play(steps: &[Step], now: Nanos) -> LifeCycle {
-        let mut life = LifeCycle::new(false);
+        let mut life = LifeCycle::new(false, LONGEST);
         for step in steps {
             match step {
                 Step::Listed => life.listed(),
@@ -269,9 +302,35 @@
         assert!(life.is_over(1000 + ACCEPT_ON, false));
     }
 
+    #[test]
+    fn what_an_end_still_takes_is_answered_before_the_kill_whatever_the_deadlines() {
+        for (deadline, answered, takes) in
+            [(100, 700, 700), (800, 1_400, 1_400), (2_500, 3_100, 1_500), (30_000, 3_600, 1_500)]
+        {
+            let mut life = LifeCycle::new(false, deadline * MS);
+            life.listed();
+            assert_eq!(life.answer_by(), None);
+            life.stop(1_000 * MS);
+            assert_eq!(life.answer_by(), Some((1_000 + answered) * MS), "{deadline}");
+            let takes = (1_000 + takes) * MS;
+            assert!(life.stance(takes - 1).takes && !life.stance(takes).takes, "{deadline}");
+            assert!(
+                (0..takes).step_by(50 * MS as usize).all(|now| life.due(now).is_some_and(|due| due <= takes))
+            );
+            let mut drained = LifeCycle::new(false, deadline * MS);
+            drained.listed();
+            drained.quiesce(0);
+            assert_eq!(
+                (drained.answer_by(), drained.stance(TAKE_ON - 1).takes),
+                (None, true),
+                "nobody is killed"
+            );
+        }
+    }
+
     #[test]
     fn it_is_ready_once_there_is_a_list_and_nothing_is_waited_for() {
-        let mut life = LifeCycle::new(true);
+        let mut life = LifeCycle::new(true, LONGEST);
         life.set_waits(true);
         life.listed();
         assert!(!life.is_ready());
@@ -283,7 +342,7 @@
 
     #[test]
     fn on_a_shared_socket_the_door_is_left_to_the_one_that_serves() {
-        let mut life = LifeCycle::new(true);
+        let mut life = LifeCycle::new(true, LONGEST);
         assert_eq!(life.stance(0).door, Door::Waits, "not ready: the queue is the other's");
         life.listed();
         assert_eq!(life.stance(0).door, Door::Open);
@@ -299,7 +358,7 @@
         life.set_other_serves(false);
         assert_eq!(life.stance(ACCEPT_ON - 1).door, Door::Open);
         assert_eq!(life.stance(ACCEPT_ON).door, Door::Closed);
-        let mut alone = LifeCycle::new(false);
+        let mut alone = LifeCycle::new(false, LONGEST);
         alone.set_other_serves(true);
         alone.stop(0);
         assert_eq!(alone.stance(0).door, Door::Open, "nobody shares the socket");
--- a/crates/pipitrun/src/peers.rs
+++ b/crates/pipitrun/src/peers.rs
@@ -44,8 +44,6 @@
     pub server: ServerId,
     /// When it has had its time.
     pub until: Nanos,
-    /// What is sent.
-    pub command: Vec<u8>,
 }
 
 /// How a job ended.
@@ -68,6 +66,11 @@
 /// What becomes of a job.
 #[derive(Debug, PartialEq, Eq)]
 pub enum PeerEvent {
+    /// Its connection is up and nothing of it is written: it begins now with [`Peers::begin`] or is abandoned.
+    Up {
+        /// Which job.
+        job: Job,
+    },
     /// It is over.
     End {
         /// Which job.
@@ -92,8 +95,8 @@
 }
 
 enum State {
-    /// Not up yet; nothing of the job is written.
-    Connecting(Job),
+    /// Nothing of the job is written: as a rule the connection is not up yet.
+    Unbegun(Job),
     /// A job is being written or waited for.
     Busy(Job),
     Idle {
@@ -105,6 +108,8 @@
 
 struct PeerConnection {
     server: ServerId,
+    /// Where it leads: the peer may have moved since.
+    address: SocketAddr,
     stream: Watched<TcpStream>,
     state: State,
     /// The job's command, and how much of it is written.
@@ -124,7 +129,7 @@
 impl PeerConnection {
     fn job(&self) -> Option<Job> {
         match self.state {
-            State::Connecting(job) | State::Busy(job) => Some(job),
+            State::Unbegun(job) | State::Busy(job) => Some(job),
             State::Idle { .. } => None,
         }
     }
@@ -147,6 +152,8 @@
 #[derive(Default)]
 struct Peer {
     address: Option<SocketAddr>,
+    /// It wants nothing new. What the module decided before it knew may still come here after the news.
+    withdrawn: bool,
     /// Idle connections, the one used last at the end.
     idle: Vec<u64>,
     connections: usize,
@@ -203,12 +210,20 @@
         self.coming_most = bytes;
     }
 
-    /// Where a peer is to be reached from now on; connections to its former address carry nothing new. Tells
-    /// whether that is news.
-    pub fn set_address(&mut self, server: ServerId, address: SocketAddr, counters: &mut Counters) -> bool {
-        let former = self.peers.entry(server).or_default().address.replace(address);
+    /// Where a peer is to be reached from now on; connections to its former address carry nothing new, what waits on
+    /// them included. Tells whether that is news. Something new is sent there until it is withdrawn.
+    pub fn set_address(
+        &mut self,
+        server: ServerId,
+        address: SocketAddr,
+        events: &mut Vec<PeerEvent>,
+        counters: &mut Counters,
+    ) -> bool {
+        let peer = self.peers.entry(server).or_default();
+        peer.withdrawn = false;
+        let former = peer.address.replace(address);
         if former.is_some_and(|former| former != address) {
-            self.close_idle(server, counters);
+            self.drop_unwritten(server, events, counters);
         }
         former != Some(address)
     }
@@ -216,6 +231,13 @@
     /// The peer wants nothing new, or is gone. What has not begun to be written never will be: a connection
     /// that comes up only after the grace of the drain rule must not carry its job there.
     pub fn withdraw(&mut self, server: ServerId, events: &mut Vec<PeerEvent>, counters: &mut Counters) {
+        if let Some(peer) = self.peers.get_mut(&server) {
+            peer.withdrawn = true;
+        }
+        self.drop_unwritten(server, events, counters);
+    }
+
+    fn drop_unwritten(&mut self, server: ServerId, events: &mut Vec<PeerEvent>, counters: &mut Counters) {
         let unwritten = |c: &PeerConnection| c.server == server && c.written == 0 && c.job().is_some();
         let unwritten: Vec<u64> =
             self.connections.iter().filter(|(_, c)| unwritten(c)).map(|(n, _)| *n).collect();
@@ -225,11 +247,11 @@
         self.close_idle(server, counters);
     }
 
-    /// Sends a job's command on an idle connection or a new one.
+    /// Finds a job a connection, an idle one or a new one: it is up now or later, or the job ends.
     pub fn dispatch(
         &mut self,
         now: Nanos,
-        Outgoing { job, server, until, command }: Outgoing,
+        Outgoing { job, server, until }: Outgoing,
         timers: &mut Timers,
         events: &mut Vec<PeerEvent>,
         counters: &mut Counters,
@@ -241,15 +263,15 @@
                 continue;
             }
             if let Some(c) = self.connections.get_mut(&number) {
-                (c.state, c.output, c.written) = (State::Busy(job), command, 0);
+                c.state = State::Unbegun(job);
                 c.jobs += 1;
                 self.jobs.insert(job, number);
-                return self.write(number, events, counters);
+                events.push(PeerEvent::Up { job });
             }
             return;
         }
         match self.open(server, counters) {
-            Ok(stream) => {
+            Ok((stream, address)) => {
                 let number = self.next_connection;
                 let watched = self.poll.watch(stream, Source::Peer(number), false, true);
                 let stream = match watched {
@@ -261,12 +283,12 @@
                 };
                 self.next_connection += 1;
                 counters.peers_opened += 1;
-                let state = State::Connecting(job);
                 let c = PeerConnection {
                     server,
+                    address,
                     stream,
-                    state,
-                    output: command,
+                    state: State::Unbegun(job),
+                    output: Vec::new(),
                     written: 0,
                     input: Vec::new(),
                     jobs: 1,
@@ -283,25 +305,52 @@
         }
     }
 
+    /// Writes a job's command; its connection is up.
+    pub fn begin(
+        &mut self,
+        job: Job,
+        command: Vec<u8>,
+        events: &mut Vec<PeerEvent>,
+        counters: &mut Counters,
+    ) {
+        let Some(number) = self.jobs.get(&job).copied() else { return };
+        if let Some(c) = self.connections.get_mut(&number) {
+            (c.state, c.output, c.written) = (State::Busy(job), command, 0);
+        }
+        self.write(number, events, counters);
+    }
+
+    /// Whether this job's last byte is not written: it never ran.
+    pub fn is_unsent(&self, job: Job) -> bool {
+        let c = self.jobs.get(&job).and_then(|number| self.connections.get(number));
+        c.is_some_and(|c| matches!(c.state, State::Unbegun(_)) || c.written < c.output.len())
+    }
+
     /// The loop looks anew at what is ready.
     pub fn next_turn(&mut self) {
         self.turn += 1;
     }
 
-    /// The idle connection used last among those that have rested, or else of those that have not just answered.
+    /// The idle connection used last among those that have rested, or else of those that have not just answered. One that
+    /// the peer may be closing for its idle time is none, though the sweep has not come by.
     fn take_idle(&mut self, now: Nanos, server: ServerId) -> Option<u64> {
         let idle = &mut self.peers.get_mut(&server)?.idle;
-        let state = |n: &u64| self.connections.get(n).map(|c| &c.state);
-        let rested =
-            |n| matches!(state(n), Some(State::Idle { since, .. }) if now.saturating_sub(*since) >= REST);
-        let earlier = |n| matches!(state(n), Some(State::Idle { turn, .. }) if *turn < self.turn);
+        let idle_time = self.idle_time;
+        // For how long it has stood idle, and since which turn.
+        let stood = |n: &u64| match self.connections.get(n)?.state {
+            State::Idle { since, turn } => Some((now.saturating_sub(since), turn)),
+            _ => None,
+        };
+        let stood = |n: &u64| stood(n).filter(|(stood, _)| *stood < idle_time);
+        let rested = |n: &u64| stood(n).is_some_and(|(stood, _)| stood >= REST);
+        let earlier = |n: &u64| stood(n).is_some_and(|(_, turn)| turn < self.turn);
         let place = idle.iter().rposition(rested).or_else(|| idle.iter().rposition(earlier))?;
         Some(idle.remove(place))
     }
 
     /// Begins a connection, or says how the job that needed it ends.
-    fn open(&mut self, server: ServerId, counters: &mut Counters) -> Result<TcpStream, JobEnd> {
-        let peer = self.peers.get(&server).ok_or(JobEnd::NeverSent)?;
+    fn open(&mut self, server: ServerId, counters: &mut Counters) -> Result<(TcpStream, SocketAddr), JobEnd> {
+        let peer = self.peers.get(&server).filter(|p| !p.withdrawn).ok_or(JobEnd::NeverSent)?;
         let address = peer.address.ok_or(JobEnd::NeverSent)?;
         if peer.connections >= (self.most / PEER_PART).max(1) {
             return Err(JobEnd::NoPlace);
@@ -309,7 +358,7 @@
         if self.connections.len() >= self.most && !self.make_room(counters) {
             return Err(JobEnd::NoPlace);
         }
-        connect(address).map_err(|e| match e.kind() {
+        connect(address).map(|stream| (stream, address)).map_err(|e| match e.kind() {
             ErrorKind::ConnectionRefused | ErrorKind::NetworkUnreachable | ErrorKind::HostUnreachable => {
                 JobEnd::NeverSent
             }
@@ -337,7 +386,7 @@
         if let Some(number) = self.jobs.get(&job).copied() {
             if let Some(c) = self.connections.get(&number) {
                 log::trace!(
-                    connection = number, up = !matches!(c.state, State::Connecting(_)), jobs = c.jobs,
+                    connection = number, begun = !matches!(c.state, State::Unbegun(_)), jobs = c.jobs,
                     written = c.written, of = c.output.len(), come = c.input.len();
                     "{job:?} abandoned at server {}", c.server.0
                 );
@@ -348,7 +397,7 @@
 
     /// A connection that is not up by now has failed.
     pub fn connect_due(&mut self, number: u64, events: &mut Vec<PeerEvent>, counters: &mut Counters) {
-        if self.connections.get(&number).is_some_and(|c| matches!(c.state, State::Connecting(_))) {
+        if self.connections.get(&number).is_some_and(|c| matches!(c.state, State::Unbegun(_))) {
             self.end(number, JobEnd::NeverSent, events, counters);
         }
     }
@@ -397,14 +446,13 @@
     ) {
         let Source::Peer(number) = ready.source else { return };
         let Some(c) = self.connections.get_mut(&number) else { return };
-        if let State::Connecting(job) = c.state {
+        if let State::Unbegun(job) = c.state {
             let up =
                 matches!(c.stream.socket().take_error(), Ok(None)) && c.stream.socket().peer_addr().is_ok();
             if !up {
                 return self.end(number, JobEnd::NeverSent, events, counters);
             }
-            c.state = State::Busy(job);
-            return self.write(number, events, counters);
+            return events.push(PeerEvent::Up { job });
         }
         if ready.readable {
             self.read(number, now, timers, events, counters);
@@ -500,18 +548,19 @@
                 (if unwritten { JobEnd::NeverSent } else { JobEnd::Spoilt }, None)
             }
         };
-        if length != Some(c.input.len()) || unwritten {
-            // It came early, can't be read or has something behind it: where the next answer would begin is unknown.
+        let peer = self.peers.get_mut(&c.server).filter(|p| p.address == Some(c.address) && !p.withdrawn);
+        let useless = length != Some(c.input.len()) || unwritten;
+        let Some(peer) = peer.filter(|_| !useless) else {
+            // It came early, can't be read or has something behind it: where the next answer would begin is unknown. Or
+            // the peer wants nothing new, or has moved: it might be another cache's by the time of the next job.
             return self.end(number, end, events, counters);
-        }
+        };
+        peer.idle.push(number);
         self.coming -= c.input.len();
         c.state = State::Idle { since: now, turn: self.turn };
         (c.input, c.output, c.written) = (Vec::new(), Vec::new(), 0);
         c.passing = None;
         self.jobs.remove(&job);
-        if let Some(peer) = self.peers.get_mut(&c.server) {
-            peer.idle.push(number);
-        }
         events.push(PeerEvent::End { job, end });
     }
 
@@ -565,7 +614,7 @@
 
     /// Closes connections that have stood idle for long.
     pub fn sweep(&mut self, now: Nanos, counters: &mut Counters) {
-        let old = |c: &PeerConnection| matches!(c.state, State::Idle { since, .. } if now.saturating_sub(since) >= self.idle_time.max(MS));
+        let old = |c: &PeerConnection| matches!(c.state, State::Idle { since, .. } if now.saturating_sub(since) >= self.idle_time);
         let old: Vec<u64> = self.connections.iter().filter(|(_, c)| old(c)).map(|(n, _)| *n).collect();
         for number in old {
             self.remove(number, counters);
--- a/crates/pipitrun/src/peers/tests.rs
+++ b/crates/pipitrun/src/peers/tests.rs
@@ -12,25 +12,47 @@
     counters: Counters,
     events: Vec<PeerEvent>,
     now: Nanos,
+    /// What the jobs say once they begin.
+    commands: HashMap<Job, Vec<u8>>,
 }
 
 fn stage() -> Stage {
     let peer = TcpListener::bind("127.0.0.1:0").unwrap();
     let (poll, mut counters) = (Poll::new().unwrap(), Counters::default());
     let mut peers = Peers::new(&poll, 8, MS, 1000 * MS);
-    peers.set_address(SERVER, peer.local_addr().unwrap(), &mut counters);
-    Stage { peers, peer, timers: Timers::default(), counters, events: Vec::new(), now: 0 }
+    let mut events = Vec::new();
+    peers.set_address(SERVER, peer.local_addr().unwrap(), &mut events, &mut counters);
+    Stage { peers, peer, timers: Timers::default(), counters, events, now: 0, commands: HashMap::new() }
 }
 
 impl Stage {
     fn dispatch(&mut self, probe: u64, command: Vec<u8>) {
-        let outgoing = Outgoing { job: Job::Probe(probe), server: SERVER, until: MS, command };
+        self.send(Job::Probe(probe), command);
+    }
+
+    fn send(&mut self, job: Job, command: Vec<u8>) {
+        self.commands.insert(job, command);
+        let outgoing = Outgoing { job, server: SERVER, until: MS };
         self.peers.dispatch(self.now, outgoing, &mut self.timers, &mut self.events, &mut self.counters);
+        self.begin();
+    }
+
+    /// As the loop does: who is up begins.
+    fn begin(&mut self) {
+        for event in std::mem::take(&mut self.events) {
+            let PeerEvent::Up { job } = event else {
+                self.events.push(event);
+                continue;
+            };
+            let command = self.commands.remove(&job).expect("up once");
+            self.peers.begin(job, command, &mut self.events, &mut self.counters);
+        }
     }
 
     fn ready(&mut self, number: u64) {
         let ready = Ready { source: Source::Peer(number), readable: true, writable: true };
         self.peers.ready(self.now, ready, &mut self.timers, &mut self.events, &mut self.counters);
+        self.begin();
     }
 
     fn ends(&mut self) -> Vec<JobEnd> {
@@ -175,8 +197,7 @@
 fn a_long_value_is_passed_on_as_it_comes_and_stands_still_only_while_it_is_read() {
     let mut s = stage();
     let job = Job::Try(RequestId(1), AttemptNo(0));
-    let outgoing = Outgoing { job, server: SERVER, until: MS, command: b"one".to_vec() };
-    s.peers.dispatch(0, outgoing, &mut s.timers, &mut s.events, &mut s.counters);
+    s.send(job, b"one".to_vec());
     let mut peer = s.peer.accept().unwrap().0;
     s.ready(0);
     peer.write_all(b"*3\r\n$70000\r\n").unwrap();
@@ -198,3 +219,45 @@
     s.peers.stall_due(2 * STALL_PASSING, 0, &mut s.events, &mut s.counters);
     assert_eq!((s.ends(), s.counters.stalled), (vec![JobEnd::Spoilt], 1));
 }
+
+#[test]
+fn a_connection_that_the_peer_may_be_closing_for_its_idle_time_carries_nothing_more() {
+    for (conn_idle, at, reused) in
+        [(1_000 * MS, 749 * MS, true), (1_000 * MS, 750 * MS, false), (0, MS, false)]
+    {
+        let mut s = stage();
+        s.peers.idle_time = Peers::new(&s.peers.poll, 8, MS, conn_idle).idle_time;
+        s.dispatch(1, b"one".to_vec());
+        let mut first = s.peer.accept().unwrap().0;
+        s.ready(0);
+        first.write_all(b"+PONG\r\n").unwrap();
+        s.ready(0);
+        s.ends();
+        s.peers.next_turn();
+        // The sweep, which closes it, has not come by.
+        s.now = at;
+        s.dispatch(2, b"two".to_vec());
+        assert_eq!(s.counters.peers_opened, if reused { 1 } else { 2 }, "{conn_idle} {at}");
+    }
+}
+
+#[test]
+fn a_connection_that_was_busy_when_its_peer_was_withdrawn_is_not_kept_for_the_next_job() {
+    let mut s = stage();
+    s.dispatch(1, b"one".to_vec());
+    let mut first = s.peer.accept().unwrap().0;
+    s.ready(0);
+    s.peers.withdraw(SERVER, &mut s.events, &mut s.counters);
+    first.write_all(b"+PONG\r\n").unwrap();
+    s.ready(0);
+    assert_eq!(s.ends(), [JobEnd::Reply(Reply::Status("PONG".into()))], "what has begun ends there");
+    s.dispatch(2, b"two".to_vec());
+    assert_eq!(s.ends(), [JobEnd::NeverSent]);
+    s.peers.set_address(SERVER, s.peer.local_addr().unwrap(), &mut s.events, &mut s.counters);
+    s.dispatch(3, b"three".to_vec());
+    assert_eq!(
+        (s.ends(), s.counters.peers_opened, s.counters.peers_closed),
+        (vec![], 2, 1),
+        "in service again"
+    );
+}
--- a/crates/pipitrun/src/poll.rs
+++ b/crates/pipitrun/src/poll.rs
@@ -1,6 +1,7 @@
 //! The one wrapper round `polling`: sockets are watched as long as they live, and no longer.
 
 use polling::{AsSource, Event, Events, PollMode, Poller};
+use rustix::event::{PollFd, PollFlags, Timespec};
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -46,6 +47,12 @@
     matches!(stream.peek(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
 }
 
+/// Whether the other end sends nothing more, or has closed. Unlike a read this sees it past bytes that wait to be read.
+pub fn has_ended(stream: &TcpStream) -> bool {
+    let mut one = [PollFd::new(stream, PollFlags::RDHUP)];
+    matches!(rustix::event::poll(&mut one, Some(&Timespec::default())), Ok(ready) if ready > 0)
+}
+
 /// Takes what has come and will not be read, at most so much: closing over it would reset the connection, and who is at its
 /// other end might lose the last answer. False once it has ended, or if it sends on and on.
 pub fn discard(mut stream: &TcpStream, most: usize) -> bool {
--- a/crates/pipitrun/src/request.rs
+++ b/crates/pipitrun/src/request.rs
@@ -1,5 +1,6 @@
 //! The neutral request context: what every front's requests have in common, whatever protocol they came by.
 
+use crate::resp::write_command;
 use finchyard::{AttemptNo, Nanos, RequestId, ServerId};
 use std::collections::BTreeMap;
 
@@ -44,6 +45,19 @@
 }
 
 impl Order {
+    /// The command for a peer that is waited for so many milliseconds.
+    pub fn command(&self, ms: u64) -> Vec<u8> {
+        let mut fields = String::new();
+        for (name, value) in &self.fields {
+            fields.push_str(&format!("{name}={value},"));
+        }
+        fields.push_str(&format!("d={ms}"));
+        match &self.value {
+            None => write_command(&[b"C.GET", &self.key, &self.id, fields.as_bytes()]),
+            Some(value) => write_command(&[b"C.SET", &self.key, &self.id, fields.as_bytes(), value]),
+        }
+    }
+
     /// Bytes that it holds.
     pub fn size(&self) -> usize {
         let fields: usize = self.fields.iter().map(|(name, value)| name.len() + value.len()).sum();
@@ -76,6 +90,10 @@
     pub server: ServerId,
     /// When.
     pub sent: Nanos,
+    /// When it has had its time.
+    pub until: Nanos,
+    /// Its first byte is written by then or never.
+    pub begin_by: Nanos,
 }
 
 /// A request from its arrival until it is answered and nothing of it is out any more.
@@ -83,6 +101,8 @@
 pub struct RequestContext {
     /// Until it is answered or the client has left.
     pub owed: Option<Ticket>,
+    /// When its client left.
+    pub left: Option<Nanos>,
     /// What is passed on.
     pub order: Order,
     /// When the client gives up.
@@ -94,7 +114,7 @@
 impl RequestContext {
     /// The context of a request that has just come.
     pub fn new(ticket: Ticket, order: Order, deadline: Nanos) -> Self {
-        RequestContext { owed: Some(ticket), order, deadline, out: BTreeMap::new() }
+        RequestContext { owed: Some(ticket), left: None, order, deadline, out: BTreeMap::new() }
     }
 
     /// Nothing is owed and nothing expected any more.
--- a/crates/pipitrun/src/tries.rs
+++ b/crates/pipitrun/src/tries.rs
@@ -4,7 +4,7 @@
 use crate::counters::Counters;
 use crate::peers::{Job, JobEnd, Outgoing};
 use crate::request::{FinalAnswer, Incoming, RequestContext, Ticket, Try};
-use crate::resp::{Answer as PeerAnswer, Reply, write_command};
+use crate::resp::{Answer as PeerAnswer, Reply};
 use crate::timers::MS;
 use finchyard::{AttemptNo, CacheNote, Ended, Event, Load, Nanos, Outcome, RequestId, ServerId};
 use std::collections::{HashMap, HashSet};
@@ -86,9 +86,9 @@
     }
 
     /// The client has left: nothing is owed any more.
-    pub fn gone(&mut self, request: RequestId) {
+    pub fn gone(&mut self, now: Nanos, request: RequestId) {
         if let Some(context) = self.contexts.get_mut(&request) {
-            context.owed = None;
+            (context.owed, context.left) = (None, Some(now));
         }
         self.clear(request);
     }
@@ -109,13 +109,14 @@
         }
     }
 
-    /// Begins a try. One that has no request or no time any more is never sent, and the module is told so.
+    /// Begins a try: it gets a connection next. One that has no request or no time any more is never sent, and the module
+    /// is told so.
     pub fn start(
         &mut self,
         now: Nanos,
         (request, attempt): (RequestId, AttemptNo),
         server: ServerId,
-        timeout: Option<Nanos>,
+        (timeout, begin_within): (Option<Nanos>, Option<Nanos>),
         counters: &mut Counters,
     ) -> Result<Outgoing, Box<Event>> {
         // The attempt is the module's own number: with a wrong one it would wait for its end for good.
@@ -130,18 +131,39 @@
         }
         counters.tries += 1;
         counters.copies += u64::from(!context.out.is_empty());
-        context.out.insert(attempt, Try { server, sent: now });
-        let order = &context.order;
-        let mut fields = String::new();
-        for (name, value) in &order.fields {
-            fields.push_str(&format!("{name}={value},"));
+        let begin_by = begin_within.map_or(Nanos::MAX, |within| now.saturating_add(within));
+        context.out.insert(attempt, Try { server, sent: now, until, begin_by });
+        Ok(Outgoing { job: Job::Try(request, attempt), server, until })
+    }
+
+    /// What is written for a try whose connection is up. A connection may come up long after the module decided, so all that
+    /// can have changed is asked again now: whether an answer is still owed, and whether there is time. A try that
+    /// comes too late for that is never sent, and the module is told so.
+    pub fn first_byte(
+        &mut self,
+        now: Nanos,
+        request: RequestId,
+        attempt: AttemptNo,
+        counters: &mut Counters,
+    ) -> Result<Vec<u8>, Option<Box<Event>>> {
+        let wanted = self.contexts.get(&request).and_then(|context| {
+            let one = context.out.get(&attempt)?;
+            // A peer is told whole milliseconds.
+            let in_time = one.until >= now + MS && now < one.begin_by;
+            (context.owed.is_some() && in_time).then(|| context.order.command((one.until - now) / MS))
+        });
+        wanted.ok_or_else(|| {
+            self.count_unsent(now, request, counters);
+            self.give_up(now, request, attempt, Outcome::Moot, counters).map(Box::new)
+        })
+    }
+
+    /// A try of this request ends unsent: counts it if its client had left.
+    pub fn count_unsent(&self, now: Nanos, request: RequestId, counters: &mut Counters) {
+        if let Some(left) = self.contexts.get(&request).and_then(|context| context.left) {
+            counters.left_unsent += 1;
+            counters.left_unsent_ms = counters.left_unsent_ms.max(now.saturating_sub(left).div_ceil(MS));
         }
-        fields.push_str(&format!("d={}", (until - now) / MS));
-        let command = match &order.value {
-            None => write_command(&[b"C.GET", &order.key, &order.id, fields.as_bytes()]),
-            Some(value) => write_command(&[b"C.SET", &order.key, &order.id, fields.as_bytes(), value]),
-        };
-        Ok(Outgoing { job: Job::Try(request, attempt), server, until, command })
     }
 
     /// A try is over without an answer: by its time-out, by the module's will or for want of a connection.
@@ -154,7 +176,7 @@
         counters: &mut Counters,
     ) -> Option<Event> {
         let context = self.contexts.get_mut(&request)?;
-        let Try { server, sent } = context.out.remove(&attempt)?;
+        let Try { server, sent, .. } = context.out.remove(&attempt)?;
         let finished = context.owed.is_none();
         self.clear(request);
         let ms = now.saturating_sub(sent) / MS;
@@ -334,13 +356,15 @@
         );
         assert!(tries.is_open(b"i") && !tries.is_open(b"j"));
         let first = (RequestId(1), AttemptNo(0));
-        assert!(tries.start(0, first, ServerId(1), None, &mut counters).is_ok());
+        assert!(tries.start(0, first, ServerId(1), (None, None), &mut counters).is_ok());
         let outcome = Outcome::Reset;
         assert!(tries.give_up(1, first.0, first.1, outcome, &mut counters).is_some());
-        tries.gone(RequestId(1));
+        tries.gone(1, RequestId(1));
         assert!(!tries.is_open(b"i"), "nothing is left of it");
         let second = (RequestId(1), AttemptNo(1));
-        let Err(end) = tries.start(1, second, ServerId(2), None, &mut counters) else { panic!("sent") };
+        let Err(end) = tries.start(1, second, ServerId(2), (None, None), &mut counters) else {
+            panic!("sent")
+        };
         assert!(matches!(*end, Event::Ended(Ended { attempt: AttemptNo(1), finished: true, .. })), "{end:?}");
     }
 
@@ -356,7 +380,7 @@
             );
             // Peers that answer within 0.1 ms have the module give a try up after a fraction of one.
             let first = (RequestId(1), AttemptNo(0));
-            let started = tries.start(0, first, ServerId(1), Some(MS / 4), &mut counters);
+            let started = tries.start(0, first, ServerId(1), (Some(MS / 4), None), &mut counters);
             assert_eq!(started.ok().map(|o| o.until), sent.then_some(MS), "{patience}");
         }
     }
--- a/crates/pipitrun/src/upstream_group.rs
+++ b/crates/pipitrun/src/upstream_group.rs
@@ -5,6 +5,7 @@
 use crate::poll::{Poll, Ready, Source, Watched, connect};
 use crate::timers::{Due, MS, Timers};
 use finchyard::Nanos;
+use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -99,6 +100,8 @@
     body: Option<Body>,
     /// What of the answer's text has come since the last whole line.
     text: Vec<u8>,
+    /// A message may end in what has come: otherwise a long list is not looked through for each of its parts.
+    has_end: bool,
     heard: Nanos,
     /// The version of its last line.
     seq: Option<u64>,
@@ -203,6 +206,7 @@
                     input: Vec::new(),
                     body: None,
                     text: Vec::new(),
+                    has_end: false,
                     heard: now,
                     seq: None,
                 });
@@ -288,33 +292,45 @@
         if now < due {
             return timers.set(due, Due::Discovery(number));
         }
-        let silent = now.saturating_sub(call.heard) / MS;
-        events.push(self.fail(&format!("silent for {silent} ms"), counters));
+        let (silent, stage) = (now.saturating_sub(call.heard) / MS, call.stage());
+        counters.list_silent += 1;
+        counters.list_silent_ms = counters.list_silent_ms.max(silent);
+        events.push(self.fail(&format!("silent for {silent} ms, {stage}; it is called anew"), counters));
     }
 
-    /// Takes the whole lines of the text that has come.
+    /// Takes what is whole of the text that has come. A message ends with its last brace, on whatever line that is: lists may
+    /// come indented.
     fn lines(&mut self, events: &mut Vec<GroupEvent>, counters: &mut Counters) -> Result<(), String> {
         let Some(call) = self.call.as_mut() else { return Ok(()) };
         let mut at = 0;
-        while let Some(end) = call.text[at..].iter().position(|b| *b == b'\n') {
-            let line = call.text[at..at + end].trim_ascii();
-            at += end + 1;
-            if line.is_empty() {
-                continue;
-            }
-            let mut json = serde_json::Deserializer::from_slice(line);
+        while call.has_end {
+            // Empty lines between two messages are part of none.
+            at += call.text[at..].iter().take_while(|b| b.is_ascii_whitespace()).count();
+            let text = &call.text[at..];
+            let mut messages = serde_json::Deserializer::from_slice(text).into_iter::<IgnoredAny>();
+            let length = match messages.next() {
+                Some(Ok(_)) => messages.byte_offset(),
+                Some(Err(e)) if !e.is_eof() => return Err(format!("line of the list: {e}")),
+                _ if text.windows(2).any(|two| two == b"\n\n") => {
+                    return Err("line of the list: has no end".into());
+                }
+                _ => {
+                    call.has_end = false;
+                    break;
+                }
+            };
+            at += length;
+            let mut json = serde_json::Deserializer::from_slice(&text[..length]);
             let list: HostList = serde_path_to_error::deserialize(&mut json)
                 .map_err(|e| format!("line of the list: {}: {}", e.path(), e.inner()))?;
             // Within a watch versions only grow: an older line is late news, and would bring back what has gone. The
-            // first is taken whatever it says: discovery itself may count anew.
-            if call.seq.is_some_and(|seq| list.seq < seq) {
+            // first is taken whatever it says if it is a whole list: discovery itself may count anew. A change is told of
+            // the version that was asked from, and an older one than that is late news too.
+            let known = call.seq.or(self.seq.filter(|_| !list.whole));
+            if known.is_some_and(|seq| list.seq < seq) {
                 counters.list_old += 1;
-                log::warn!(
-                    "discovery at {}: a line of version {} is left, {:?} was told",
-                    self.address,
-                    list.seq,
-                    call.seq
-                );
+                let (address, seq) = (self.address, list.seq);
+                log::warn!("discovery at {address}: a line of version {seq} is left, {known:?} was told");
                 continue;
             }
             call.seq = Some(list.seq);
@@ -357,7 +373,22 @@
         if self.body.is_none() {
             self.head()?;
         }
-        self.decode()
+        let held = self.text.len();
+        let decoded = self.decode();
+        self.has_end |= self.text[held..].iter().any(|b| matches!(b, b'}' | b'\n'));
+        decoded
+    }
+
+    /// How far it has come, as the log tells it.
+    fn stage(&self) -> &'static str {
+        match &self.body {
+            None if self.written == 0 => "before its connection was up",
+            None if self.input.is_empty() => "before its head",
+            None => "in its head",
+            Some(Body::Chunked { left: 1.. }) => "in a chunk",
+            Some(_) if self.text.is_empty() && self.input.is_empty() => "between two lines",
+            Some(_) => "in a line",
+        }
     }
 
     /// Reads the status and headers, once they are all there.
@@ -402,8 +433,6 @@
                     self.text.extend(self.input.drain(..part));
                     *left -= part;
                     if *left == 0 {
-                        // A plain answer may lack the last line's end.
-                        self.text.push(b'\n');
                         return Err("the answer has ended".into());
                     }
                     return Ok(());
@@ -513,4 +542,130 @@
         let hosts: Vec<_> = now.hosts.iter().map(|h| (h.host.as_str(), h.dial.as_str())).collect();
         assert_eq!((now.seq, now.whole, hosts), (5, true, vec![("a", "y:1"), ("c", "")]));
     }
+
+    /// A group with a watch open, the other end of that, and what has become of it.
+    struct Watch {
+        group: UpstreamGroup,
+        discovery: TcpStream,
+        events: Vec<GroupEvent>,
+        timers: Timers,
+        counters: Counters,
+    }
+
+    impl Watch {
+        fn open(known: Option<&str>) -> Self {
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            let mut group = UpstreamGroup::new(&Poll::new().unwrap(), listener.local_addr().unwrap(), None);
+            if let Some(known) = known {
+                group.learn(&serde_json::from_str(known).unwrap());
+            }
+            let (mut timers, mut counters) = (Timers::default(), Counters::default());
+            assert!(group.watch(0, &mut timers, &mut counters).is_none());
+            let discovery = listener.accept().unwrap().0;
+            let mut watch = Watch { group, discovery, events: Vec::new(), timers, counters };
+            watch.ready(0, false);
+            watch
+        }
+
+        fn ready(&mut self, now: Nanos, readable: bool) {
+            let ready = Ready { source: Source::Discovery(0), readable, writable: !readable };
+            self.group.ready(now, ready, &mut self.events, &mut self.counters);
+        }
+
+        /// Discovery writes this, and it is read.
+        fn says(&mut self, now: Nanos, text: &str) {
+            self.discovery.write_all(text.as_bytes()).unwrap();
+            self.ready(now, true);
+        }
+
+        fn told(&mut self) -> Vec<(u64, bool)> {
+            let told = |event| match event {
+                GroupEvent::News(list) => Some((list.seq, list.whole)),
+                GroupEvent::Failed => None,
+            };
+            self.events.drain(..).filter_map(told).collect()
+        }
+    }
+
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    #[test]
+    fn lists_come_through_however_they_are_indented_and_wherever_they_are_split() {
+        let spread = serde_json::to_string_pretty(&serde_json::json!(
+            {"seq": 4, "whole": true, "hosts": [{"host": "a}\n\n{", "dial": "x:1"}, {"host": "b"}]}
+        ));
+        let text = format!("  {}\n\n\t{{\"seq\":5,\"hosts\":[]}}\n\n\r\n{{\"seq\":6}}\n", spread.unwrap());
+        for cut in 1..text.len() {
+            let mut watch = Watch::open(None);
+            watch.says(0, HEAD);
+            for part in [&text[..cut], &text[cut..]] {
+                watch.says(0, &format!("{:x}\r\n{part}\r\n", part.len()));
+            }
+            assert_eq!(watch.told(), [(4, true), (5, false), (6, false)], "cut at {cut}");
+        }
+    }
+
+    #[test]
+    fn a_message_that_an_empty_line_cuts_short_ends_the_watch() {
+        for text in ["{\"seq\":4,\n", "{\"seq\":4,\"hosts\":[{\"host\":\"a\"}\n"] {
+            let mut watch = Watch::open(None);
+            watch.says(0, "HTTP/1.1 200 OK\r\n\r\n");
+            watch.says(0, text);
+            assert!(watch.events.is_empty(), "more may come");
+            watch.says(0, "\n");
+            assert!(matches!(watch.events[..], [GroupEvent::Failed]), "{text}");
+        }
+    }
+
+    #[test]
+    fn a_change_older_than_the_version_that_was_asked_from_is_left_and_an_older_whole_list_is_not() {
+        let known = r#"{"seq":41,"whole":true,"hosts":[{"host":"a","health":"terminating"}]}"#;
+        for (text, told) in [
+            (r#"{"seq":40,"hosts":[{"host":"a"}]}"#, vec![]),
+            (r#"{"seq":41,"hosts":[{"host":"a"}]}"#, vec![(41, false)]),
+            (r#"{"seq":42,"hosts":[{"host":"a"}]}"#, vec![(42, false)]),
+            // Discovery counts anew: it can't know what changed since a version that it never had.
+            (r#"{"seq":3,"whole":true,"hosts":[{"host":"a"}]}{"seq":4}"#, vec![(3, true), (4, false)]),
+        ] {
+            let mut watch = Watch::open(Some(known));
+            watch.says(0, "HTTP/1.1 200 OK\r\n\r\n");
+            watch.says(0, text);
+            assert_eq!(watch.told(), told, "{text}");
+            assert_eq!(watch.counters.list_old, u64::from(told.is_empty()));
+        }
+    }
+
+    #[test]
+    fn a_watch_that_falls_silent_is_called_anew_well_before_what_it_misses_counts_as_told() {
+        // By the protocol that is 6 s after the last byte. Listed: what came, and how far that is.
+        let cases = [
+            ("", "before its head"),
+            ("HTTP/1.1 2", "in its head"),
+            (HEAD, "between two lines"),
+            ("HTTP/1.1 200 OK\r\n\r\n{\"seq\":5}\n", "between two lines"),
+            ("HTTP/1.1 200 OK\r\n\r\n{\"seq\":5", "in a line"),
+            ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20\r\n{\"seq\":5", "in a chunk"),
+        ];
+        for (text, stage) in cases {
+            let mut watch = Watch::open(None);
+            let heard = if text.is_empty() { 0 } else { 100 * MS };
+            if !text.is_empty() {
+                watch.says(heard, text);
+            }
+            assert_eq!(watch.group.call.as_ref().unwrap().stage(), stage);
+            watch.events.clear();
+            let mut given_up = None;
+            for now in (0..6_000).map(|ms| heard + ms * MS) {
+                let (timers, events, counters) = (&mut watch.timers, &mut watch.events, &mut watch.counters);
+                watch.group.due(now, 0, timers, events, counters);
+                if !watch.events.is_empty() {
+                    given_up = Some(now - heard);
+                    break;
+                }
+            }
+            let given_up = given_up.unwrap_or_else(|| panic!("{stage}: too late"));
+            assert!((2_000 * MS..=5_000 * MS).contains(&given_up), "{stage}: an empty line is due every 2 s");
+            assert_eq!((watch.counters.list_silent, watch.counters.list_silent_ms), (1, given_up / MS));
+        }
+    }
 }
