The door is taken back if the newcomer dies before the old process has ended; hand-overs as tests

Seen by reading: once another process served, the one told to stop dropped its listening socket (front: Door::Left). If the newcomer died while the old one still owed answers, nobody took the clients that came, though the life cycle says that who comes is better off here. The socket is now kept, unread, until the process ends. Tests with two loops on one socket, told of just what each test says; a recorded exchange can have the program stand still, so that a request, a reload and two stops come in one turn.

--- a/crates/pipitrun/src/event_loop/tests.rs
+++ b/crates/pipitrun/src/event_loop/tests.rs
@@ -6,6 +6,7 @@
 use serde_json::json;
 use socket2::SockRef;
 use std::net::{TcpListener, TcpStream};
+use std::os::fd::IntoRawFd;
 use std::time::{Duration, Instant};
 
 /// After this a step has failed; no step of a working loop comes near it.
@@ -36,6 +37,11 @@
 
 impl Stage {
     fn set(given: Given) -> Self {
+        Stage::with(given, |_| {})
+    }
+
+    /// With more in its configuration than the file says.
+    fn with(given: Given, told: impl FnOnce(&mut Config)) -> Self {
         let listen = || TcpListener::bind("127.0.0.1:0").expect("a free port");
         let caches: Vec<TcpListener> = (0..given.caches).map(|_| listen()).collect();
         let discovery = listen();
@@ -56,7 +62,9 @@
                 "profiles": [class("read", "safe"), class("put", "keyed"), class("once", "unsafe")],
             },
         });
-        let the = EventLoop::new(Config::read(&config.to_string()).expect("it is sound")).expect("it starts");
+        let mut config = Config::read(&config.to_string()).expect("it is sound");
+        told(&mut config);
+        let the = EventLoop::new(config).expect("it starts");
         Stage { the, events: Events::new(), caches, discovery, clients: Vec::new() }
     }
 
@@ -378,3 +386,148 @@
     let d = text.trim_end().rsplit_once("d=").expect("a field").1.parse::<u64>().unwrap();
     assert!(d <= 3_600, "{d}: the process is killed 3.7 s after the request to stop at the earliest");
 }
+
+/// Two processes of one balancer on one listening socket, with a folder for what they tell each other.
+struct Pair {
+    folder: std::path::PathBuf,
+    listener: TcpListener,
+}
+
+impl Drop for Pair {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Pair {
+    fn new(name: &str) -> Self {
+        let folder = std::env::temp_dir().join(format!("pipitrun-pair-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        Pair { folder, listener: TcpListener::bind("127.0.0.1:0").unwrap() }
+    }
+
+    /// One that has just started, and is ready as soon as it waits for no notes.
+    fn start(&self) -> Stage {
+        let socket = self.listener.try_clone().unwrap();
+        Stage::with(GIVEN, |config| {
+            config.socket_fd = Some(socket.into_raw_fd());
+            config.folder = Some(self.folder.clone());
+        })
+    }
+
+    /// An old one, and a new one that is ready; the old one has not looked since.
+    fn both(&self) -> (Stage, Stage) {
+        let mut old = self.start();
+        let mut new = self.start();
+        old.look();
+        new.look();
+        assert!(old.the.life.is_ready() && new.the.life.is_ready(), "its notes lay there");
+        (old, new)
+    }
+
+    /// A client that asks whether it is served.
+    fn ping(&self) -> TcpStream {
+        let mut client = TcpStream::connect(self.listener.local_addr().unwrap()).unwrap();
+        client.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+        client
+    }
+}
+
+impl Stage {
+    fn look(&mut self) {
+        let now = self.the.clock.now();
+        self.the.look(now);
+    }
+
+    fn stop(&mut self) {
+        let now = self.the.clock.now();
+        self.the.stop(now);
+    }
+
+    /// Takes the next client and answers it.
+    fn takes(&mut self, mut client: TcpStream, want: &str) {
+        let number = self.the.counters.clients_accepted;
+        self.turn(&[Source::Listener]);
+        self.turn(&[Source::Client(number)]);
+        let mut got = vec![0; want.len()];
+        client.read_exact(&mut got).unwrap();
+        assert_eq!(String::from_utf8_lossy(&got), want);
+    }
+}
+
+#[test]
+fn a_stop_between_the_newcomers_yes_and_the_look_at_it_leaves_the_door_to_it() {
+    let pair = Pair::new("yes");
+    let (mut old, mut new) = pair.both();
+    old.stop();
+    assert!(old.the.is_over(), "nothing is owed here any more");
+    new.takes(pair.ping(), "+PONG\r\n");
+}
+
+#[test]
+fn a_newcomer_that_died_behind_its_yes_leaves_the_door_to_the_one_that_is_then_told_to_stop() {
+    let pair = Pair::new("died");
+    let (mut old, new) = pair.both();
+    old.look();
+    assert!(old.the.hand_over.other_serves());
+    drop(new);
+    old.stop();
+    assert!(!old.the.is_over());
+    old.takes(pair.ping(), "-LOADING ending\r\n");
+}
+
+#[test]
+fn the_door_is_taken_back_if_the_newcomer_dies_while_the_old_one_still_answers() {
+    let pair = Pair::new("back");
+    let (mut old, new) = pair.both();
+    old.ask("read", 50_000);
+    old.turn(&[FIRST]);
+    old.stop();
+    assert!(!old.the.is_over(), "an answer is owed");
+    drop(new);
+    let client = pair.ping();
+    old.look();
+    old.takes(client, "-LOADING ending\r\n");
+}
+
+#[test]
+fn two_who_are_both_told_to_stop_both_take_who_still_comes() {
+    let pair = Pair::new("both");
+    let (mut old, mut new) = pair.both();
+    old.look();
+    new.stop();
+    old.stop();
+    new.look();
+    for one in [&mut old, &mut new] {
+        assert!(!one.the.is_over());
+        one.takes(pair.ping(), "-LOADING ending\r\n");
+    }
+}
+
+#[test]
+fn limits_are_halved_while_two_live_and_joined_again_whatever_the_operators_do_meanwhile() {
+    let pair = Pair::new("split");
+    let mut old = pair.start();
+    let alone = old.the.memory;
+    let new = pair.start();
+    old.look();
+    let now = old.the.clock.now();
+    old.the.life.quiesce(now);
+    old.the.follow(now);
+    assert_eq!((old.the.memory, new.the.memory), (alone / 2, alone / 2));
+    drop(new);
+    old.the.life.resume().unwrap();
+    old.look();
+    assert_eq!(old.the.memory, alone);
+    old.takes(pair.ping(), "+PONG\r\n");
+}
+
+#[test]
+fn a_stop_before_any_list_is_known_answers_what_was_taken() {
+    let mut s = Stage::set(Given { caches: 0, ..GIVEN });
+    s.ask("once", 1_000);
+    s.stop();
+    assert_eq!(s.the.tries.open(), 1, "it waits for a list");
+    s.until(|the| the.tries.open() == 0);
+    s.answers(0, "-BUSY\r\n");
+}
--- a/crates/pipitrun/src/front/resp.rs
+++ b/crates/pipitrun/src/front/resp.rs
@@ -188,7 +188,7 @@
 
     /// Takes the clients that wait at the door.
     pub fn accept(&mut self, now: Nanos, counters: &mut Counters) {
-        if self.stance.door == Door::Waits {
+        if matches!(self.stance.door, Door::Waits | Door::Left) {
             return;
         }
         for _ in 0..ACCEPT_MAX {
@@ -242,7 +242,7 @@
     }
 
     fn pause(&mut self, pause: bool) {
-        let pause = pause || self.stance.door == Door::Waits;
+        let pause = pause || matches!(self.stance.door, Door::Waits | Door::Left);
         if let Some(listener) = &mut self.listener
             && self.accepting == pause
         {
@@ -667,7 +667,7 @@
             }
         }
         self.stance = stance;
-        if matches!(stance.door, Door::Closed | Door::Left) {
+        if stance.door == Door::Closed {
             // Only this process's descriptor of it: the socket may be shared with another.
             self.listener = None;
         }
--- a/crates/pipitrun/src/life_cycle.rs
+++ b/crates/pipitrun/src/life_cycle.rs
@@ -29,7 +29,7 @@
     Waits,
     /// The door is closed for good; who waits at it is let in before.
     Closed,
-    /// The door is left for good, with those who wait at it, to the other process.
+    /// The door is left, with those who wait at it, to the other process; for good unless that one dies meanwhile.
     Left,
 }
 
--- a/crates/pipitrun/tests/common/mod.rs
+++ b/crates/pipitrun/tests/common/mod.rs
@@ -90,6 +90,11 @@
     pub fn signal(&self, name: &str) {
         let sent = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
         assert!(sent.expect("kill is there").success(), "signal sent");
+        if name == "STOP" {
+            // What comes from now on is all there in one turn once it goes on.
+            let stat = format!("/proc/{}/stat", self.child.id());
+            wait("it to stand still", || std::fs::read_to_string(&stat).is_ok_and(|s| s.contains(") T ")));
+        }
     }
 }
 
--- a/crates/pipitrun/tests/exchanges.rs
+++ b/crates/pipitrun/tests/exchanges.rs
@@ -10,7 +10,7 @@
 //! | `NAME close` | it ends its connection |
 //! | `NAME next` | it takes the program's next connection; the one it has is `former-NAME` from now on |
 //! | `NAME down` | it takes no connections any more |
-//! | `signal TERM` | the program gets this signal |
+//! | `signal TERM` | the program gets this signal; `STOP` has it stand still until `CONT`, so that what comes meanwhile is one turn's |
 //! | `file OLD => NEW` | in the configuration file OLD becomes NEW; before all other steps: the program starts so |
 //! | `log TEXT` | the program's next log line with this text comes |
 //! | `exit` | the program must end with exit code 0 |
