Tests: answers that cross a copy or the deadline, one class and twelve

Held: one answer in either order, whatever the other attempt brings; the deadline in the turn of the answer; a class's effect by its name, not its place, with one class and with twelve, with tenants and without.

--- a/crates/pipitrun/src/event_loop/tests.rs
+++ b/crates/pipitrun/src/event_loop/tests.rs
@@ -120,8 +120,8 @@
 
     /// A cache's next connection.
     fn accept(&self, cache: usize) -> TcpStream {
-        let stream = self.caches[cache].accept().unwrap().0;
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let (number, stream) = self.next();
+        assert_eq!(number, cache, "another cache is asked");
         stream
     }
 
@@ -249,7 +249,7 @@
 fn a_copy_whose_connection_comes_up_behind_the_answer_is_not_sent() {
     let mut s = Stage::set(Given { caches: 2, ..GIVEN });
     // The copy is due after half of this.
-    s.ask("read", 1_000);
+    s.ask("read", 4_000);
     s.turn(&[FIRST]);
     let (_, mut first) = s.next();
     s.until(|the| the.counters.copies == 1);
@@ -265,11 +265,11 @@
 #[test]
 fn a_connection_that_comes_up_in_the_turn_of_the_deadline_is_not_used() {
     let mut s = Stage::set(GIVEN);
-    s.ask("once", 40);
+    s.ask("once", 1_000);
     let mut cache = s.accept(0);
     let up = s.wait(FIRST);
     let asked = s.the.clock.now();
-    while s.the.clock.now() < asked + 60 * MS {}
+    while s.the.clock.now() < asked + 1_020 * MS {}
     s.the.gather(&mut vec![up]);
     s.the.settle();
     assert_eq!(rest(&mut cache), "");
@@ -531,3 +531,54 @@
     s.until(|the| the.tries.open() == 0);
     s.answers(0, "-BUSY\r\n");
 }
+
+const VALUE: &[u8] = b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n";
+
+/// All that this client is sent until now.
+fn sent(client: &mut TcpStream) -> String {
+    client.set_nonblocking(true).unwrap();
+    let mut text = Vec::new();
+    let end = client.read_to_end(&mut text);
+    assert!(matches!(end, Err(e) if e.kind() == io::ErrorKind::WouldBlock), "it stays open");
+    String::from_utf8(text).unwrap()
+}
+
+#[rstest]
+fn the_answers_of_a_read_and_its_copy_in_one_turn_are_one_answer(
+    #[values([FIRST, SECOND], [SECOND, FIRST])] order: [Source; 2],
+    #[values(VALUE, b"-ERR failed\r\n", b"*3\r\n$x")] other: &[u8],
+) {
+    let mut s = Stage::set(Given { caches: 2, cancel: false, ..GIVEN });
+    s.ask("read", 4_000);
+    s.turn(&[FIRST]);
+    let (_, mut first) = s.next();
+    s.until(|the| the.counters.copies == 1);
+    let (_, mut second) = s.next();
+    s.turn(&[SECOND]);
+    command(&mut first);
+    command(&mut second);
+    first.write_all(VALUE).unwrap();
+    second.write_all(other).unwrap();
+    s.turn(&order);
+    assert_eq!(sent(&mut s.clients[0]), "$1\r\nv\r\n");
+    assert_eq!((s.the.counters.served, s.the.tries.open(), s.the.counters.tries), (1, 0, 2));
+}
+
+#[test]
+fn an_answer_that_comes_in_the_turn_of_the_deadline_is_the_only_one() {
+    let mut s = Stage::set(GIVEN);
+    s.ask("once", 1_000);
+    s.turn(&[FIRST]);
+    let mut cache = s.accept(0);
+    command(&mut cache);
+    cache.write_all(VALUE).unwrap();
+    let answer = s.wait(FIRST);
+    let asked = s.the.clock.now();
+    while s.the.clock.now() < asked + 1_020 * MS {}
+    // The answer, the try's time-out and the module's deadline, all due.
+    s.the.gather(&mut vec![answer]);
+    s.the.settle();
+    s.turn(&[]);
+    assert_eq!(sent(&mut s.clients[0]), "$1\r\nv\r\n");
+    assert_eq!((s.the.counters.served, s.the.counters.failed, s.the.tries.open()), (1, 0, 0));
+}
--- a/crates/pipitrun/tests/deployments.rs
+++ b/crates/pipitrun/tests/deployments.rs
@@ -87,3 +87,55 @@
     client.write_all(get(2, &fields("900000")).as_bytes()).expect("it reads");
     assert!(read_until(&mut client, "\r\n").starts_with("-BUSY"));
 }
+
+#[rstest]
+fn a_class_has_its_own_effect_whatever_stands_before_it_and_however_many_there_are(
+    #[values(1, 12)] classes: usize,
+    #[values(("safe", true), ("keyed", true), ("unsafe", false))] (repeat, repeated): (&str, bool),
+    #[values(0, 3)] tenants: usize,
+) {
+    let listen = || TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let (cache, discovery) = (listen(), listen());
+    let address = |l: &TcpListener| l.local_addr().expect("an address").to_string();
+    // All before the last have another effect, and their times go from a tenth of a second to half a minute.
+    let other = if repeated { "unsafe" } else { "safe" };
+    let profiles: Vec<_> = (1..=classes)
+        .map(|n| {
+            let give_up = if n == classes { 20_000 } else { 100 + (n as u64 - 1) * 3_000 };
+            json!({"name": format!("class-{n}"), "repeat": if n == classes { repeat } else { other }, "group": "all",
+                "memory_span_ns": 20_000 * MS, "goal_time_ns": give_up * MS / 2, "give_up_ns": give_up * MS, "worth": n})
+        })
+        .collect();
+    let accounts: Vec<_> =
+        (0..tenants).map(|n| json!({"name": format!("t{n}"), "allowance_per_s": 9.0})).collect();
+    let config = json!({
+        "listen": "127.0.0.1:0", "discovery": address(&discovery), "seed": "2a",
+        "known": {"seq": 7, "whole": true, "hosts": [{"host": "s-1", "dial": address(&cache)}]},
+        "settings": {
+            "membership_mode": "automatic", "group_size": 2, "accounts": accounts, "step_ns": MS,
+            "caps": {"max_attempts": 2, "may_cancel": true},
+            "obligations": {"drain_grace_ns": 500 * MS, "grace_to_answer_ns": 20 * MS}, "profiles": profiles,
+        },
+    });
+    let name = format!("pipitrun-{}-{classes}-{repeat}-{tenants}.json", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, config.to_string()).expect("a place for the configuration");
+    let program = Program::start(&path, &[]);
+    std::fs::remove_file(&path).expect("it was read");
+    let mut client = program.client();
+    client.write_all(get(1, &format!("c=class-{classes},d=19000")).as_bytes()).expect("it reads");
+    // It may have run when its connection ends.
+    let mut one = accept(&cache);
+    read_until(&mut one, ",d=");
+    read_until(&mut one, "\r\n");
+    drop(one);
+    if repeated {
+        let mut one = accept(&cache);
+        read_until(&mut one, ",d=");
+        read_until(&mut one, "\r\n");
+        one.write_all(b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n").expect("it reads");
+        assert_eq!(read_until(&mut client, "v\r\n"), "$1\r\nv\r\n");
+    } else {
+        assert_eq!(read_until(&mut client, "\r\n"), "-ERR failed\r\n");
+    }
+}
