A connection to a cache rests 10 ms behind an answer: a second one may come that late

A connection was used again after 2 ms, and before that if none had rested. Nothing in an answer tells for which request it is, so only time can tell.

Wrong were REST (2 ms) and the second choice in Peers::take_idle, which took one that had not rested. Now none is taken before 10 ms, and with that the count of turns goes. At a peer's limit one that rests is closed for a new one, where a job found no place.

Stories that used a connection again at once rest in between; that is a least time, no order hangs on it.

a_second_answer_some_milliseconds_behind_is_never_the_next_one fails with 2 ms (the job is written to the first connection).

--- a/crates/pipitrun/src/event_loop.rs
+++ b/crates/pipitrun/src/event_loop.rs
@@ -190,7 +190,6 @@
     /// Takes in all that is ready: outcomes before new requests, so that the module decides by the latest.
     fn gather(&mut self, ready: &mut Vec<Ready>) {
         let now = self.clock.now();
-        self.peers.next_turn();
         let mut clients = Vec::new();
         // The operators' calls go first: whatever the load, an answer waits for one turn at most.
         for one in ready.iter().filter(|one| matches!(one.source, Source::Management | Source::Caller(_))) {
--- a/crates/pipitrun/src/peers.rs
+++ b/crates/pipitrun/src/peers.rs
@@ -13,10 +13,10 @@
 
 /// One read takes at most this much.
 const READ_SIZE: usize = 32 * 1024;
-/// A connection should rest this long after an answer before it carries the next job, and must until the next turn
-/// of the loop: what comes right behind an answer and doesn't belong to it is found by then, and is never taken
-/// for the next answer.
-const REST: Nanos = 2 * MS;
+/// A connection must rest this long after an answer before it carries the next job: nothing in an answer tells for which job it
+/// is, and a second one may come some milliseconds behind the first (up to 4 were seen). It is found by then, and is
+/// never taken for the next job's.
+const REST: Nanos = 10 * MS;
 /// Of all connections to peers, one peer gets at most this part.
 const PEER_PART: usize = 4;
 /// An answer that has begun and then stands still for this long has ended short: caches send an answer whole, and its
@@ -101,8 +101,6 @@
     Busy(Job),
     Idle {
         since: Nanos,
-        /// In which turn of the loop it was answered.
-        turn: u64,
     },
 }
 
@@ -134,6 +132,13 @@
         }
     }
 
+    fn idle_since(&self) -> Option<Nanos> {
+        match self.state {
+            State::Idle { since } => Some(since),
+            State::Unbegun(_) | State::Busy(_) => None,
+        }
+    }
+
     /// For how long an answer that has begun may stand still.
     fn stall(&self) -> Nanos {
         match &self.passing {
@@ -175,7 +180,6 @@
     idle_time: Nanos,
     /// What one read takes.
     scratch: Vec<u8>,
-    turn: u64,
 }
 
 impl Peers {
@@ -195,7 +199,6 @@
             coming: 0,
             coming_most: usize::MAX,
             scratch: vec![0; READ_SIZE],
-            turn: 0,
         }
     }
 
@@ -326,25 +329,16 @@
         c.is_some_and(|c| matches!(c.state, State::Unbegun(_)) || c.written < c.output.len())
     }
 
-    /// The loop looks anew at what is ready.
-    pub fn next_turn(&mut self) {
-        self.turn += 1;
-    }
-
-    /// The idle connection used last among those that have rested, or else of those that have not just answered. One that
-    /// the peer may be closing for its idle time is none, though the sweep has not come by.
+    /// The idle connection used last among those that have rested. One that the peer may be closing for its idle time is
+    /// none, though the sweep has not come by.
     fn take_idle(&mut self, now: Nanos, server: ServerId) -> Option<u64> {
         let idle = &mut self.peers.get_mut(&server)?.idle;
-        let idle_time = self.idle_time;
-        // For how long it has stood idle, and since which turn.
-        let stood = |n: &u64| match self.connections.get(n)?.state {
-            State::Idle { since, turn } => Some((now.saturating_sub(since), turn)),
-            _ => None,
+        let times = REST..self.idle_time;
+        let rested = |n: &u64| {
+            let since = self.connections.get(n).and_then(PeerConnection::idle_since);
+            since.is_some_and(|since| times.contains(&now.saturating_sub(since)))
         };
-        let stood = |n: &u64| stood(n).filter(|(stood, _)| *stood < idle_time);
-        let rested = |n: &u64| stood(n).is_some_and(|(stood, _)| stood >= REST);
-        let earlier = |n: &u64| stood(n).is_some_and(|(_, turn)| turn < self.turn);
-        let place = idle.iter().rposition(rested).or_else(|| idle.iter().rposition(earlier))?;
+        let place = idle.iter().rposition(rested)?;
         Some(idle.remove(place))
     }
 
@@ -352,10 +346,11 @@
     fn open(&mut self, server: ServerId, counters: &mut Counters) -> Result<(TcpStream, SocketAddr), JobEnd> {
         let peer = self.peers.get(&server).filter(|p| !p.withdrawn).ok_or(JobEnd::NeverSent)?;
         let address = peer.address.ok_or(JobEnd::NeverSent)?;
-        if peer.connections >= (self.most / PEER_PART).max(1) {
+        let crowded = peer.connections >= (self.most / PEER_PART).max(1);
+        if crowded && !self.make_room(Some(server), counters) {
             return Err(JobEnd::NoPlace);
         }
-        if self.connections.len() >= self.most && !self.make_room(counters) {
+        if self.connections.len() >= self.most && !self.make_room(None, counters) {
             return Err(JobEnd::NoPlace);
         }
         connect(address).map(|stream| (stream, address)).map_err(|e| match e.kind() {
@@ -370,12 +365,11 @@
         })
     }
 
-    /// Closes the connection that has been idle longest, if one is.
-    fn make_room(&mut self, counters: &mut Counters) -> bool {
-        let idle = self.connections.iter().filter_map(|(n, c)| match c.state {
-            State::Idle { since, .. } => Some((since, *n)),
-            _ => None,
-        });
+    /// Closes the connection that has been idle longest, to this peer or to any, if one is. It may be one that rests.
+    fn make_room(&mut self, server: Option<ServerId>, counters: &mut Counters) -> bool {
+        let eligible =
+            self.connections.iter().filter(|(_, c)| server.is_none_or(|server| c.server == server));
+        let idle = eligible.filter_map(|(n, c)| Some((c.idle_since()?, *n)));
         let Some((_, number)) = idle.min() else { return false };
         self.remove(number, counters);
         true
@@ -557,7 +551,7 @@
         };
         peer.idle.push(number);
         self.coming -= c.input.len();
-        c.state = State::Idle { since: now, turn: self.turn };
+        c.state = State::Idle { since: now };
         (c.input, c.output, c.written) = (Vec::new(), Vec::new(), 0);
         c.passing = None;
         self.jobs.remove(&job);
@@ -614,7 +608,9 @@
 
     /// Closes connections that have stood idle for long.
     pub fn sweep(&mut self, now: Nanos, counters: &mut Counters) {
-        let old = |c: &PeerConnection| matches!(c.state, State::Idle { since, .. } if now.saturating_sub(since) >= self.idle_time);
+        let old = |c: &PeerConnection| {
+            c.idle_since().is_some_and(|since| now.saturating_sub(since) >= self.idle_time)
+        };
         let old: Vec<u64> = self.connections.iter().filter(|(_, c)| old(c)).map(|(n, _)| *n).collect();
         for number in old {
             self.remove(number, counters);
--- a/crates/pipitrun/src/peers/tests.rs
+++ b/crates/pipitrun/src/peers/tests.rs
@@ -1,6 +1,7 @@
 //! Connections to peers: one job at a time, and how each ends.
 
 use super::*;
+use rstest::rstest;
 use std::net::TcpListener;
 
 const SERVER: ServerId = ServerId(7);
@@ -75,7 +76,7 @@
     s.ready(0);
     assert_eq!(s.ends(), [JobEnd::Reply(Reply::Status("PONG".into()))]);
     drop(first);
-    s.peers.next_turn();
+    s.now = REST;
     s.dispatch(2, b"two".to_vec());
     assert_eq!((s.counters.peers_opened, s.counters.peers_closed), (2, 1));
     let mut second = s.peer.accept().unwrap().0;
@@ -84,28 +85,66 @@
     assert_eq!(s.ends(), []);
 }
 
-#[test]
-fn what_comes_right_behind_an_answer_is_never_the_next_one() {
+#[rstest]
+fn a_second_answer_some_milliseconds_behind_is_never_the_next_one(
+    #[values(0, 2 * MS, 4 * MS, REST - 1)] later: Nanos,
+) {
     let mut s = stage();
     s.dispatch(1, b"one".to_vec());
     let mut first = s.peer.accept().unwrap().0;
     s.ready(0);
     first.write_all(b"+PONG\r\n").unwrap();
     s.ready(0);
-    // In the same turn it could not be seen yet.
+    s.ends();
+    s.now += later;
     s.dispatch(2, b"two".to_vec());
-    assert_eq!((s.counters.peers_opened, s.counters.peers_closed), (2, 0));
+    assert_eq!((s.counters.peers_opened, s.counters.peers_closed), (2, 0), "the first one rests");
     let mut second = s.peer.accept().unwrap().0;
     s.ready(1);
-    s.peers.next_turn();
+    // The second answer to the first job comes, and is looked at first.
+    first.write_all(b"-ERR again\r\n").unwrap();
+    s.ready(0);
+    assert_eq!((s.ends(), s.counters.peers_closed), (vec![], 1), "it is nobody's");
     second.write_all(b"+PONG\r\n").unwrap();
+    s.ready(1);
+    assert_eq!(s.ends(), [JobEnd::Reply(Reply::Status("PONG".into()))]);
+}
+
+#[test]
+fn of_two_that_stand_idle_the_one_that_has_rested_is_taken_though_the_other_was_used_last() {
+    let mut s = stage();
+    s.dispatch(1, b"one".to_vec());
+    let mut first = s.peer.accept().unwrap().0;
+    s.ready(0);
+    s.dispatch(2, b"two".to_vec());
+    let mut second = s.peer.accept().unwrap().0;
+    s.ready(1);
+    first.write_all(b"+PONG\r\n").unwrap();
+    s.ready(0);
     s.now = REST;
+    second.write_all(b"+PONG\r\n").unwrap();
+    s.ready(1);
+    assert_eq!([s.peers.take_idle(REST, SERVER), s.peers.take_idle(REST, SERVER)], [Some(0), None]);
+    assert_eq!(s.peers.take_idle(2 * REST, SERVER), Some(1));
+}
+
+#[test]
+fn at_the_limit_of_a_peer_one_that_rests_makes_room() {
+    let mut s = stage();
+    s.peers.set_most(4);
+    s.dispatch(1, b"one".to_vec());
+    let mut first = s.peer.accept().unwrap().0;
+    s.ready(0);
+    s.dispatch(2, b"two".to_vec());
+    assert_eq!(s.ends(), [JobEnd::NoPlace], "a peer has one of four, and that is at work");
+    first.write_all(b"+PONG\r\n").unwrap();
+    s.ready(0);
+    s.ends();
+    s.dispatch(3, b"three".to_vec());
+    let mut second = s.peer.accept().unwrap().0;
     s.ready(1);
-    s.peers.next_turn();
-    // Of two the one that has rested is taken, though the other was used last.
-    assert_eq!(s.peers.take_idle(REST, SERVER), Some(0));
-    assert_eq!(s.peers.take_idle(REST, SERVER), Some(1));
-    assert_eq!(s.peers.take_idle(REST, SERVER), None);
+    second.read_exact(&mut [0; 5]).unwrap();
+    assert_eq!((s.ends(), s.counters.peers_closed), (vec![], 1));
 }
 
 #[test]
@@ -223,7 +262,7 @@
 #[test]
 fn a_connection_that_the_peer_may_be_closing_for_its_idle_time_carries_nothing_more() {
     for (conn_idle, at, reused) in
-        [(1_000 * MS, 749 * MS, true), (1_000 * MS, 750 * MS, false), (0, MS, false)]
+        [(1_000 * MS, 749 * MS, true), (1_000 * MS, 750 * MS, false), (0, REST, false)]
     {
         let mut s = stage();
         s.peers.idle_time = Peers::new(&s.peers.poll, 8, MS, conn_idle).idle_time;
@@ -233,7 +272,6 @@
         first.write_all(b"+PONG\r\n").unwrap();
         s.ready(0);
         s.ends();
-        s.peers.next_turn();
         // The sweep, which closes it, has not come by.
         s.now = at;
         s.dispatch(2, b"two".to_vec());
--- a/crates/pipitrun/tests/exchanges.rs
+++ b/crates/pipitrun/tests/exchanges.rs
@@ -10,6 +10,7 @@
 //! | `NAME close` | it ends its connection |
 //! | `NAME next` | it takes the program's next connection; the one it has is `former-NAME` from now on |
 //! | `NAME down` | it takes no connections any more |
+//! | `rest` | so long that a connection to a cache whose answer has been taken may carry the next job; a least time, no order hangs on it |
 //! | `signal TERM` | the program gets this signal; `STOP` has it stand still until `CONT`, so that what comes meanwhile is one turn's |
 //! | `file OLD => NEW` | in the configuration file OLD becomes NEW; before all other steps: the program starts so |
 //! | `log TEXT` | the program's next log line with this text comes |
@@ -28,6 +29,10 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// Longer than a connection rests behind an answer.
+const REST: Duration = Duration::from_millis(30);
 
 const CONFIG: &str = r#"{"name":"n1","listen":"127.0.0.1:0","discovery":"DISCOVERY","seed":"2a",
     "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
@@ -95,6 +100,7 @@
         let (name, step) = line.split_once(' ').unwrap_or((line, ""));
         match (name, step.split_at(step.len().min(2))) {
             ("exit", _) => assert!(self.program.child.wait().expect("it ends").success(), "exit code"),
+            ("rest", _) => std::thread::sleep(REST),
             ("signal", _) => self.program.signal(step),
             ("file", _) => {
                 let (old, new) = step.split_once(" => ").expect("what for what");
