Hand-over: a process whose seat has no name yet is neither written to nor taken for the dead

Read line by line: a newcomer has the lock of its seat before it has written its name there. Who looks in between saw

- an empty seat as a process without a name that isn't ready: the one that serves wrote its notes for nobody.
The newcomer found notes, could not read them as its own, went on without, and the second writing came too late: all that had been learnt was gone;
- what a killed predecessor had left there, `ready: true` included: told to stop just then, the old process left the door to one that wasn't ready;
- as the newcomer, while the old one wrote its seat anew: it took that for one that never served, and waited for no notes.

On part of a core the time between the two is as long as the pause that the platform makes.

Ruled out: telling by the lock who holds it (it names no process).

Each part taken out once: what fails is one_whose_seat_can_not_be_read_yet_is_neither_written_to_nor_taken_for_one_that_never_served (the first and third) and who_has_its_seat_and_has_not_written_its_name_is_not_taken_for_the_dead_who_had_it (the second).

--- a/crates/pipitrun/src/hand_over.rs
+++ b/crates/pipitrun/src/hand_over.rs
@@ -14,7 +14,7 @@
 /// The other process, as its seat tells.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Other {
-    /// A name of its own for each start.
+    /// A name of its own for each start; empty as long as its seat can't be read.
     pub process: String,
     /// It is ready to serve.
     pub ready: bool,
@@ -52,7 +52,9 @@
     /// notes.
     pub fn look(&mut self, now: Nanos, other: Option<Other>, notes_there: bool, serves: bool) -> Todo {
         let mut todo = Todo { split: other.is_some() != self.other.is_some(), ..Todo::default() };
-        if std::mem::take(&mut self.first) && other.as_ref().is_some_and(|o| o.ready) {
+        // One whose seat can't be read yet may serve, or may be the newcomer: what it is to be told waits until it can.
+        let unknown = other.as_ref().is_some_and(|o| o.process.is_empty());
+        if std::mem::take(&mut self.first) && other.as_ref().is_some_and(|o| o.ready || unknown) {
             self.notes_until = Some(now + NOTES_WAIT);
         }
         self.other = other;
@@ -62,7 +64,7 @@
             self.notes_until = None;
             todo.go_on = true;
         }
-        if let Some(other) = self.other.as_ref().filter(|o| serves && !o.ready)
+        if let Some(other) = self.other.as_ref().filter(|o| serves && !o.ready && !unknown)
             && self.served.as_ref() != Some(&other.process)
         {
             self.served = Some(other.process.clone());
@@ -146,6 +148,20 @@
         assert_eq!(idle.look(0, other("c", false), false, false).write_notes_for, None, "it serves nobody");
     }
 
+    #[test]
+    fn one_whose_seat_can_not_be_read_yet_is_neither_written_to_nor_taken_for_one_that_never_served() {
+        // The old one looks when the newcomer has its seat and has not written its name.
+        let mut old = HandOver::new();
+        old.look(0, None, false, true);
+        assert_eq!(old.look(1, other("", false), false, true), Todo { split: true, ..Todo::default() });
+        assert_eq!(old.look(2, other("b", false), false, true).write_notes_for, Some("b".into()));
+        // The newcomer looks when the old one writes its seat anew.
+        let mut new = HandOver::new();
+        new.look(0, other("", false), false, false);
+        assert!(new.waits());
+        assert!(new.look(1, other("a", true), true, false).go_on);
+    }
+
     proptest! {
         // The same cases every time.
         #![proptest_config(ProptestConfig {
--- a/crates/pipitrun/src/seats.rs
+++ b/crates/pipitrun/src/seats.rs
@@ -82,8 +82,10 @@
         let unknown = Other { process: String::new(), ready: false };
         let Some(own) = self.own else { return Some(unknown) };
         let file = &mut self.files[1 - own];
-        if file.try_lock_shared().is_ok() {
-            // Nobody sits there.
+        if file.try_lock().is_ok() {
+            // Nobody sits there. What the dead left goes: the next one to sit has the lock before it has written its name, and would
+            // be taken for the dead, who may have served.
+            let _ = file.set_len(0);
             let _ = file.unlock();
             return None;
         }
@@ -182,6 +184,32 @@
         assert_eq!(b.other().map(|o| o.process), Some("c".into()));
     }
 
+    #[test]
+    fn who_has_its_seat_and_has_not_written_its_name_is_not_taken_for_the_dead_who_had_it() {
+        let folder = Folder::new("dead");
+        let mut a = folder.seat("a");
+        let mut b = folder.seat("b");
+        b.set_ready(true);
+        assert_eq!(a.other().map(|o| o.ready), Some(true));
+        // Killed: nothing is written any more.
+        drop(b);
+        assert_eq!(a.other(), None);
+        let next = File::options().write(true).open(folder.0.join("pipitrun.seat-1")).unwrap();
+        next.lock().unwrap();
+        assert_eq!(a.other(), Some(Other { process: String::new(), ready: false }));
+    }
+
+    #[test]
+    fn what_who_died_while_it_wrote_notes_has_left_is_no_notes() {
+        let folder = Folder::new("half");
+        let a = folder.seat("a");
+        let b = folder.seat("b");
+        std::fs::write(b.notes.with_extension("notes.new"), "{\"version\":1,\"to\":\"b\",\"no").unwrap();
+        assert!(!b.notes_there());
+        a.write_notes("b", [5]).unwrap();
+        assert_eq!(b.read_notes::<Vec<u64>>(), Ok(vec![5]));
+    }
+
     #[test]
     fn notes_that_are_torn_foreign_old_or_too_long_are_named_and_taken_away() {
         let folder = Folder::new("notes");
