A watch that stands has former failures forgotten, though it tells no news

Read line by line: the wait after a failed call of discovery grows to 2.5 to 7.5 s, and only a line of the list brought it back to 0.2 to 0.6 s. Discovery that is back after some seconds with nothing new sends empty lines only. If that watch then falls silent, it is given up after 3.5 s and called anew up to 7.5 s later: what it missed counts as told 6 s after it fell silent.

Now the first of what a watch tells brings the wait back, an empty line too (one is due every 2 s). The head alone does not: who answers and ends at once would be called several times a second.

a_watch_that_stands_has_former_failures_forgotten_though_it_has_no_news (the loop, on a connection; the three answers in a table) and what_failed_before_discovery_moved_or_answered_delays_no_call_from_then_on (the module).

--- a/crates/finchyard/src/api.rs
+++ b/crates/finchyard/src/api.rs
@@ -386,8 +386,8 @@
     Timer(Token),
     /// The router ends: whatever is open is answered by then, if its client waits that long.
     Ending(Nanos),
-    /// Discovery is at another address from now on: what failed there says nothing of it.
-    DiscoveryMoved,
+    /// Discovery answers, or is another from now on: what failed before says nothing of it.
+    DiscoveryAnew,
     /// So many routers share the fleet now, this one included; goes before [`Settings::routers`].
     Routers(usize),
     /// What all routers agree to let in from now on; without it, all.
--- a/crates/finchyard/src/brain.rs
+++ b/crates/finchyard/src/brain.rs
@@ -122,7 +122,7 @@
                     self.with(id, |me, r| me.hurry(r, by));
                 }
             }
-            Event::DiscoveryMoved => self.call_backoff = CALL_BACKOFF,
+            Event::DiscoveryAnew => self.call_backoff = CALL_BACKOFF,
             Event::Routers(routers) => {
                 self.settings.routers = routers.max(1);
                 self.crowd = (self.settings.routers as f64).sqrt();
--- a/crates/finchyard/src/brain/tests.rs
+++ b/crates/finchyard/src/brain/tests.rs
@@ -1037,7 +1037,7 @@
 }
 
 #[test]
-fn what_failed_at_a_former_address_of_discovery_delays_no_call_at_the_new_one() {
+fn what_failed_before_discovery_moved_or_answered_delays_no_call_from_then_on() {
     let mut brain = brain(1);
     brain.settings.discovery = Discovery::Asked { within: 10_000 * MS };
     let failed = || Event::List { scope: ListScope::Failed, entries: Vec::new() };
@@ -1046,13 +1046,13 @@
         brain.handle(0, failed(), &mut actions);
     }
     assert!(brain.call_backoff >= 5_000 * MS);
-    brain.handle(0, Event::DiscoveryMoved, &mut actions);
+    brain.handle(0, Event::DiscoveryAnew, &mut actions);
     actions.clear();
     brain.handle(0, failed(), &mut actions);
     let after = |a: &Action| if let Action::Timer { after, .. } = a { Some(*after) } else { None };
     let wait = actions.iter().filter_map(after).max();
     assert!(
         wait.is_some_and(|wait| wait <= 600 * MS),
-        "{wait:?}: what it tells counts as told 4 s after the move"
+        "{wait:?}: what it tells counts as told 4 s after a move, or 6 s after it fell silent"
     );
 }
--- a/crates/pipitrun/src/event_loop.rs
+++ b/crates/pipitrun/src/event_loop.rs
@@ -438,6 +438,7 @@
     fn group_events(&mut self, events: Vec<GroupEvent>) {
         for event in events {
             match event {
+                GroupEvent::Stands => self.news.push(Event::DiscoveryAnew),
                 GroupEvent::News(list) => self.list(list, false),
                 GroupEvent::Failed => match self.group.again(self.clock.now()) {
                     Some(at) => self.timers.set(at, Due::Watch),
@@ -630,7 +631,7 @@
             log::warn!("changed, but heeded at the next start only: {}", later.join(", "));
         }
         if new.discovery != self.config.discovery {
-            self.news.push(Event::DiscoveryMoved);
+            self.news.push(Event::DiscoveryAnew);
         }
         let failed = self.group.move_to(new.discovery, now, &mut self.timers, &mut self.counters);
         self.group_events(failed.into_iter().collect());
--- a/crates/pipitrun/src/event_loop/tests.rs
+++ b/crates/pipitrun/src/event_loop/tests.rs
@@ -422,6 +422,32 @@
     assert!(d <= 3_600, "{d}");
 }
 
+#[rstest]
+#[case::empty_line("HTTP/1.1 200 OK\r\n\r\n\n", true)]
+#[case::head("HTTP/1.1 200 OK\r\n\r\n", false)]
+#[case::busy("HTTP/1.1 503 Service Unavailable\r\n\r\n\n", false)]
+fn a_watch_that_stands_has_former_failures_forgotten_though_it_has_no_news(
+    #[case] text: &str,
+    #[case] stands: bool,
+) {
+    let mut s = Stage::set(GIVEN);
+    s.until(|the| the.counters.list_calls == 1);
+    s.turn(&[Source::Discovery(0)]);
+    let (mut watch, _) = s.discovery.accept().unwrap();
+    watch.write_all(text.as_bytes()).unwrap();
+    let ready = s.wait(Source::Discovery(0));
+    s.the.gather(&mut vec![ready]);
+    assert_eq!(s.the.news.contains(&Event::DiscoveryAnew), stands);
+    s.the.settle();
+    // A second empty line is no news of it either.
+    if stands {
+        watch.write_all(b"\n").unwrap();
+        let ready = s.wait(Source::Discovery(0));
+        s.the.gather(&mut vec![ready]);
+        assert!(!s.the.news.contains(&Event::DiscoveryAnew));
+    }
+}
+
 #[test]
 fn a_reload_that_moves_discovery_tells_the_module_that_former_failures_are_moot() {
     let mut s = Stage::set(GIVEN);
@@ -430,7 +456,7 @@
         let mut new = s.the.config.clone();
         new.discovery = address.parse().unwrap();
         s.the.run_by(new, now);
-        assert_eq!(s.the.news.contains(&Event::DiscoveryMoved), moves);
+        assert_eq!(s.the.news.contains(&Event::DiscoveryAnew), moves);
         s.the.settle();
     }
 }
--- a/crates/pipitrun/src/upstream_group.rs
+++ b/crates/pipitrun/src/upstream_group.rs
@@ -78,6 +78,8 @@
 /// What became of a watch.
 #[derive(Debug)]
 pub enum GroupEvent {
+    /// A watch stands: the first of what it tells has come, though it be an empty line.
+    Stands,
     /// News of the list.
     News(HostList),
     /// The watch ended or never began.
@@ -105,6 +107,8 @@
     heard: Nanos,
     /// The version of its last line.
     seq: Option<u64>,
+    /// Something of the answer's text has come.
+    stands: bool,
 }
 
 /// Discovery, and what it last said.
@@ -209,6 +213,7 @@
                     has_end: false,
                     heard: now,
                     seq: None,
+                    stands: false,
                 });
                 timers.set(now + CONNECT, Due::Discovery(number));
                 None
@@ -250,6 +255,9 @@
             Ok(()) if ready.readable => call.read(now),
             other => other,
         };
+        if !call.text.is_empty() && !std::mem::replace(&mut call.stands, true) {
+            events.push(GroupEvent::Stands);
+        }
         // Whole lines that came before an end or an error still count.
         let result = self.lines(events, counters).and(result);
         if let Err(problem) = result {
@@ -581,7 +589,7 @@
         fn told(&mut self) -> Vec<(u64, bool)> {
             let told = |event| match event {
                 GroupEvent::News(list) => Some((list.seq, list.whole)),
-                GroupEvent::Failed => None,
+                GroupEvent::Stands | GroupEvent::Failed => None,
             };
             self.events.drain(..).filter_map(told).collect()
         }
@@ -611,7 +619,8 @@
             let mut watch = Watch::open(None);
             watch.says(0, "HTTP/1.1 200 OK\r\n\r\n");
             watch.says(0, text);
-            assert!(watch.events.is_empty(), "more may come");
+            assert!(matches!(watch.events[..], [GroupEvent::Stands]), "more may come");
+            watch.events.clear();
             watch.says(0, "\n");
             assert!(matches!(watch.events[..], [GroupEvent::Failed]), "{text}");
         }
