Zones and cells that nobody named are not taken for one

The settings are heeded at the start, lists as they come: a zone that was set up since, or a deployment that tells none, had no name in the settings, and all such were one zone to the module (`usize::MAX`); hosts without a block shared a cell. A keyed write of a class that is remembered by zone or cell was repeated from one to the other, which knows nothing of it, and ran twice. The comment beside it already said that each is one of its own.

Now a zone without a place in the settings counts by its name, and where no zone or block is told each host by itself. zones_and_cells_that_nobody_named_are_not_taken_for_one (hosts 1, 2, 3, 4 and 5 of it shared a zone before; 4 and 5 a cell).

--- a/crates/pipitrun/src/decide.rs
+++ b/crates/pipitrun/src/decide.rs
@@ -75,13 +75,17 @@
     }
 
     fn entry(&self, host: &Host) -> Entry {
-        // A zone or kind that the settings don't name is one of its own.
-        let place = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(usize::MAX);
+        let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
+        // A zone that the settings don't name is one of its own, and where none is told each host is; so it is with cells. Taken for one,
+        // the caches of two would be trusted to discard each other's repeats.
+        let own = |told: &str| xxh3_64(if told.is_empty() { host.host.as_bytes() } else { told.as_bytes() });
+        let zone = || (own(&host.site) | 1 << 63) as usize;
+        let block = if host.block.is_null() { String::new() } else { host.block.to_string() };
         Entry {
             server: server_id(&host.host),
-            zone: place(&self.names.zones, &host.site),
-            kind: place(&self.names.kinds, &host.class),
-            cell: host.block.as_u64().unwrap_or_else(|| xxh3_64(host.block.to_string().as_bytes())),
+            zone: place(&self.names.zones, &host.site).unwrap_or_else(zone),
+            kind: place(&self.names.kinds, &host.class).unwrap_or(usize::MAX),
+            cell: host.block.as_u64().unwrap_or_else(|| own(&block)),
             phase: phase(&host.health),
             weight: host.share,
             started: (host.born_ms.max(0.0) * 1e6) as Nanos,
@@ -114,3 +118,31 @@
     let hex = std::str::from_utf8(text).ok().filter(|t| t.len() == 16);
     Key(hex.and_then(|t| u64::from_str_radix(t, 16).ok()).unwrap_or_else(|| xxh3_64(text)))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::config::Config;
+
+    #[test]
+    fn zones_and_cells_that_nobody_named_are_not_taken_for_one() {
+        let config = r#"{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{"areas":["a"],
+            "profiles":[{"name":"put","repeat":"keyed","group":"zone","give_up_ns":1}]}}"#;
+        let config = Config::read(config).unwrap();
+        let decide = Decide::new(Brain::new(config.settings, 1, 0).unwrap(), config.names);
+        let list = r#"{"seq":1,"whole":true,"hosts":[
+            {"host":"h0","site":"a","block":3}, {"host":"h1","site":"b","block":3}, {"host":"h2","site":"c","block":"x"},
+            {"host":"h3","site":"b","block":"x"}, {"host":"h4"}, {"host":"h5"}]}"#;
+        let Event::List { entries, .. } = decide.list(&serde_json::from_str(list).unwrap(), false) else {
+            panic!("a list");
+        };
+        // Which hosts share a zone, and which a cell.
+        let pairs = |same: &dyn Fn(&Entry, &Entry) -> bool| {
+            let pairs = (0..entries.len()).flat_map(|a| (a + 1..entries.len()).map(move |b| (a, b)));
+            pairs.filter(|(a, b)| same(&entries[*a], &entries[*b])).collect::<Vec<_>>()
+        };
+        assert_eq!(entries[0].zone, 0, "by its place in the settings");
+        assert_eq!(pairs(&|a, b| a.zone == b.zone), [(1, 3)], "both in b");
+        assert_eq!(pairs(&|a, b| a.cell == b.cell), [(0, 1), (2, 3)]);
+    }
+}
