Tests: a keyed window shorter than its way; a client's end that does not come fails, and does not hang

The window is held (sent once, not again behind the reset). Unit tests of the fronts wait 20 s at most for the program's bytes, as the others do.

--- a/crates/pipitrun/src/event_loop/tests.rs
+++ b/crates/pipitrun/src/event_loop/tests.rs
@@ -317,6 +317,25 @@
     s.answers(0, "-");
 }
 
+#[test]
+fn a_keyed_write_whose_window_is_shorter_than_its_way_runs_once() {
+    let mut s = Stage::set(Given { window_ms: 1, ..GIVEN });
+    s.ask("put", 50_000);
+    let mut unsent = s.accept(0);
+    // Its first try is over before its connection is up: it never ran, and the next is the first.
+    s.until(|the| the.counters.try_connect_failed == 1);
+    assert_eq!(rest(&mut unsent), "");
+    let mut cache = s.accept(0);
+    s.turn(&[SECOND]);
+    let sent = s.the.clock.now();
+    command(&mut cache);
+    drop(cache);
+    while s.the.clock.now() < sent + MS {}
+    s.turn(&[SECOND]);
+    assert_eq!((s.the.counters.try_reset, s.the.counters.peers_opened), (1, 2), "it may have run: no repeat");
+    s.answers(0, "-");
+}
+
 #[test]
 fn what_was_decided_before_a_drain_was_told_does_not_open_a_connection_behind_it() {
     let mut s = Stage::set(Given { caches: 2, ..GIVEN });
--- a/crates/pipitrun/src/front/management.rs
+++ b/crates/pipitrun/src/front/management.rs
@@ -261,7 +261,13 @@
     fn door() -> (Management, impl Fn() -> TcpStream) {
         let door = Management::listen(&Poll::new().unwrap(), "127.0.0.1:0".parse().unwrap(), false).unwrap();
         let address = door.listener.socket().local_addr().unwrap();
-        (door, move || TcpStream::connect(address).unwrap())
+        let connect = move || {
+            let caller = TcpStream::connect(address).unwrap();
+            // An end that does not come fails, and does not hang.
+            caller.set_read_timeout(Some(std::time::Duration::from_secs(20))).unwrap();
+            caller
+        };
+        (door, connect)
     }
 
     fn readable(number: u64) -> Ready {
--- a/crates/pipitrun/src/front/resp/tests.rs
+++ b/crates/pipitrun/src/front/resp/tests.rs
@@ -15,7 +15,13 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let front = RespFront::listen(&poll, listener, most, SERVING).expect("it listens");
     let address = front.listener.as_ref().unwrap().socket().local_addr().unwrap();
-    (front, move || TcpStream::connect(address).expect("it takes clients"))
+    let connect = move || {
+        let client = TcpStream::connect(address).expect("it takes clients");
+        // An end that does not come fails, and does not hang.
+        client.set_read_timeout(Some(Duration::from_secs(20))).expect("a time-out");
+        client
+    };
+    (front, connect)
 }
 
 /// The connections that do not leave: to the others nothing more is sent, and they close once the client has.
