Tests: who leaves before its copy is due, a command in part at a drain, a reload while two live

Read first, then forced: the copy is not sent whether or not tries may be called back, the command goes on and nothing new behind it, half of the new limits counts.

--- a/crates/pipitrun/src/event_loop/tests.rs
+++ b/crates/pipitrun/src/event_loop/tests.rs
@@ -222,6 +222,34 @@
     assert_eq!((s.the.counters.try_full, s.the.counters.peers_opened, s.the.tries.open()), (1, 1, 0));
 }
 
+#[rstest]
+fn who_leaves_before_its_copy_is_due_or_in_that_turn_gets_none(
+    #[values(true, false)] cancel: bool,
+    #[values(true, false)] in_that_turn: bool,
+) {
+    let mut s = Stage::set(Given { caches: 2, cancel, ..GIVEN });
+    // The copy is due after half of this.
+    s.ask("read", 400);
+    s.turn(&[FIRST]);
+    let (_, mut cache) = s.next();
+    command(&mut cache);
+    drop(s.clients.pop());
+    let due = s.the.clock.now() + 200 * MS;
+    if in_that_turn {
+        let end = s.wait(CLIENT);
+        while s.the.clock.now() < due {}
+        s.the.gather(&mut vec![end]);
+        s.the.settle();
+    } else {
+        s.turn(&[CLIENT]);
+        while s.the.clock.now() < due {
+            s.turn(&[]);
+        }
+    }
+    s.turn(&[]);
+    assert_eq!((s.the.counters.tries, s.the.counters.copies, s.the.counters.gone), (1, 0, 1));
+}
+
 #[test]
 fn a_thousand_who_leave_in_one_turn_are_all_forgotten() {
     let mut s = Stage::set(GIVEN);
@@ -634,10 +662,14 @@
     old.the.life.quiesce(now);
     old.the.follow(now);
     assert_eq!((old.the.memory, new.the.memory), (alone / 2, alone / 2));
+    let mut reloaded = old.the.config.clone();
+    reloaded.memory *= 2;
+    old.the.run_by(reloaded, now);
+    assert_eq!(old.the.memory, alone, "half of what is twice as much");
     drop(new);
     old.the.life.resume().unwrap();
     old.look();
-    assert_eq!(old.the.memory, alone);
+    assert_eq!(old.the.memory, 2 * alone);
     old.takes(pair.ping(), "+PONG\r\n");
 }
 
--- a/crates/pipitrun/src/peers/tests.rs
+++ b/crates/pipitrun/src/peers/tests.rs
@@ -339,3 +339,34 @@
         assert_eq!(s.ends(), [JobEnd::Spoilt], "no longer than that");
     }
 }
+
+#[rstest]
+fn a_command_written_in_part_when_its_peer_is_withdrawn_goes_on_and_what_breaks_before_its_end_never_ran(
+    #[values(true, false)] breaks: bool,
+) {
+    // More than the sockets between them hold.
+    const LENGTH: usize = 64 << 20;
+    let mut s = stage();
+    s.dispatch(1, vec![b'x'; LENGTH]);
+    let mut peer = s.peer.accept().unwrap().0;
+    s.ready(0);
+    s.peers.withdraw(SERVER, &mut s.events, &mut s.counters);
+    assert_eq!(s.ends(), [], "for drains a send counts from its first byte");
+    assert!(s.peers.is_unsent(Job::Probe(1)));
+    if breaks {
+        drop(peer);
+        s.ready(0);
+        return assert_eq!(s.ends(), [JobEnd::NeverSent]);
+    }
+    let (mut read, mut some) = (0, vec![0; READ_SIZE]);
+    while read < LENGTH {
+        read += peer.read(&mut some).unwrap();
+        let ready = Ready { source: Source::Peer(0), readable: false, writable: true };
+        s.peers.ready(s.now, ready, &mut s.timers, &mut s.events, &mut s.counters);
+    }
+    peer.write_all(b"+PONG\r\n").unwrap();
+    s.ready(0);
+    assert_eq!(s.ends(), [JobEnd::Reply(Reply::Status("PONG".into()))]);
+    s.dispatch(2, b"two".to_vec());
+    assert_eq!((s.ends(), s.counters.peers_closed), (vec![JobEnd::NeverSent], 1), "nothing new");
+}
