A newcomer's place is not taken from a client that is still taking its answer

With all places taken, a client that had stood idle for 20 ms was closed for a newcomer. Idle was told by what this process still held; the kernel may hold some hundred KB more for a slow client, and a byte that the client sends then resets the connection and destroys them.

RespFront::make_room asks the kernel too (SIOCOUTQNSD: not sent yet; what was sent and not confirmed arrives before a reset, and is held back for up to 40 ms at well clients, so it is no reason).

a_newcomer_does_not_push_out_a_client_that_is_still_taking_its_answer fails without it (the client is closed).

--- a/crates/pipitrun/src/front/resp.rs
+++ b/crates/pipitrun/src/front/resp.rs
@@ -2,7 +2,7 @@
 
 use crate::counters::Counters;
 use crate::life_cycle::{Door, Stance};
-use crate::poll::{Poll, Ready, Source, Watched, discard, has_ended, is_silent};
+use crate::poll::{Poll, Ready, Source, Watched, discard, has_ended, has_unsent, is_silent};
 use crate::request::{FinalAnswer, Incoming, Order, Ticket};
 use crate::resp::{self, VALUE_MAX, read_command};
 use crate::timers::MS;
@@ -254,13 +254,14 @@
     }
 
     /// Closes the connection that has been idle longest, if one is. One that was just taken, or on which something
-    /// waits to be read, is not idle: in a rush of newcomers each would be closed for the next, its request unread.
+    /// waits to be read, is not idle: in a rush of newcomers each would be closed for the next, its request unread. Nor is
+    /// one that is still taking its last answer.
     /// Those that leave anyway go first, then those on which nothing ever came, or clients that say nothing would push
     /// out those that do.
     fn make_room(&mut self, now: Nanos, counters: &mut Counters) -> bool {
         let mute = self.connections.values().filter(|c| !c.spoken && c.input.is_empty()).count();
         let spoken_least = if mute > self.most / MUTE_PART { IDLE_CROWDED } else { IDLE_FULL };
-        // In this order; whether something waits to be read is asked last, for it is a system call.
+        // In this order; whether something waits to be read or sent is asked last, for it is a system call.
         let rank = |c: &ClientConnection| {
             if c.leaves.is_some() {
                 return Some(0);
@@ -278,7 +279,9 @@
         let mut ranked: Vec<(u8, Nanos, u64)> = ranked.collect();
         ranked.sort_unstable();
         let silent = |n: &u64| {
-            self.connections.get(n).is_some_and(|c| c.leaves.is_some() || is_silent(c.stream.socket()))
+            let stands =
+                |c: &ClientConnection| is_silent(c.stream.socket()) && !has_unsent(c.stream.socket());
+            self.connections.get(n).is_some_and(|c| c.leaves.is_some() || stands(c))
         };
         let number = ranked.into_iter().map(|(.., number)| number).find(silent);
         let Some(number) = number else { return false };
--- a/crates/pipitrun/src/front/resp/tests.rs
+++ b/crates/pipitrun/src/front/resp/tests.rs
@@ -520,3 +520,31 @@
     front.sweep(IDLE_CLOSING, &mut events, &mut counters);
     assert!(front.is_empty());
 }
+
+#[test]
+fn a_newcomer_does_not_push_out_a_client_that_is_still_taking_its_answer() {
+    let (mut front, connect) = front(1);
+    let (mut counters, mut events) = (Counters::default(), Vec::new());
+    let mut client = connect();
+    front.accept(0, &mut counters);
+    client.write_all(&resp::write_command(&[b"C.GET", b"a", b"1", b"c=read,d=9"])).unwrap();
+    let ready = Ready { source: Source::Client(0), readable: true, writable: true };
+    front.ready(0, ready, &mut events, &mut counters);
+    let Some(FrontEvent::Request(incoming)) = events.pop() else { panic!("it is taken") };
+    // More than the client's side takes unread: the kernel holds the rest for it.
+    front.answer(incoming.ticket, FinalAnswer::Served(vec![b'v'; 16 * VALUE_MAX]));
+    front.flush(0, 0, &mut events, &mut counters);
+    while front.connections[&0].unsent() > 0 {
+        let _ = client.read(&mut [0; 4_096]).unwrap();
+        front.flush(0, 0, &mut events, &mut counters);
+    }
+    assert!(front.connections[&0].is_idle() && has_unsent(front.connections[&0].stream.socket()));
+    let _newcomer = connect();
+    front.accept(IDLE_LEAST, &mut counters);
+    assert_eq!((counters.clients_accepted, counters.clients_closed), (1, 0));
+    while has_unsent(front.connections[&0].stream.socket()) {
+        let _ = client.read(&mut [0; 4_096]).unwrap();
+    }
+    front.accept(2 * IDLE_LEAST, &mut counters);
+    assert_eq!((counters.clients_accepted, counters.clients_closed), (2, 1), "it has taken it by now");
+}
--- a/crates/pipitrun/src/poll.rs
+++ b/crates/pipitrun/src/poll.rs
@@ -2,7 +2,9 @@
 
 use polling::{AsSource, Event, Events, PollMode, Poller};
 use rustix::event::{PollFd, PollFlags, Timespec};
+use rustix::ioctl::{Getter, Opcode};
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
+use std::ffi::c_int;
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::{BorrowedFd, FromRawFd, RawFd};
@@ -53,6 +55,17 @@
     matches!(rustix::event::poll(&mut one, Some(&Timespec::default())), Ok(ready) if ready > 0)
 }
 
+/// Whether something that was written still waits here because the other end takes no more for now. Closed then, a byte from there
+/// would destroy it. Where the kernel can't tell, nothing waits.
+#[allow(unsafe_code)]
+pub fn has_unsent(stream: &TcpStream) -> bool {
+    // Linux's SIOCOUTQNSD: bytes not sent yet. Those that were sent and not confirmed arrive before any reset.
+    const UNSENT: Opcode = 0x894B;
+    // SAFETY: the kernel writes one int for this request, and that is what the getter holds; it touches nothing else.
+    let unsent = unsafe { rustix::ioctl::ioctl(stream, Getter::<UNSENT, c_int>::new()) };
+    unsent.is_ok_and(|bytes| bytes > 0)
+}
+
 /// Takes what has come and will not be read, at most so much: closing over it would reset the connection, and who is at its
 /// other end might lose the last answer. False once it has ended, or if it sends on and on.
 pub fn discard(mut stream: &TcpStream, most: usize) -> bool {
