--- a/crates/pipitrun/src/front/resp/tests.rs
+++ b/crates/pipitrun/src/front/resp/tests.rs
@@ -19,6 +19,8 @@
         let client = TcpStream::connect(address).expect("it takes clients");
         // An end that does not come fails, and does not hang.
         client.set_read_timeout(Some(Duration::from_secs(20))).expect("a time-out");
+        // What is written is there at once, also behind something small.
+        client.set_nodelay(true).expect("no delay");
         client
     };
     (front, connect)
@@ -466,12 +468,13 @@
 #[derive(Clone, Copy, Debug)]
 enum Crosses {
     FirstOnNew,
+    InTwoParts,
     BehindAnAnswer,
 }
 
 #[rstest]
 fn a_request_that_crosses_the_beginning_of_an_end_is_taken(
-    #[values(Crosses::FirstOnNew, Crosses::BehindAnAnswer)] crosses: Crosses,
+    #[values(Crosses::FirstOnNew, Crosses::InTwoParts, Crosses::BehindAnAnswer)] crosses: Crosses,
     #[values(Door::Open, Door::Left)] door: Door,
 ) {
     let (mut front, connect) = front(9);
@@ -487,6 +490,15 @@
             front.follow(ending, 1, &mut events, &mut counters);
             client.write_all(&command).unwrap();
         }
+        Crosses::InTwoParts => {
+            // It has asked before.
+            client.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+            front.ready(0, ready, &mut events, &mut counters);
+            let (half, rest) = command.split_at(command.len() / 2);
+            client.write_all(half).unwrap();
+            front.follow(ending, 1, &mut events, &mut counters);
+            client.write_all(rest).unwrap();
+        }
         // It comes behind the look at what there is to read, and before the answer that would have the connection end.
         Crosses::BehindAnAnswer => {
             client.write_all(&command).unwrap();
