Both doors close by one figure; a block's text is made only where it has no number

Seen on reading the change as a whole: the time that who was answered has to close stood in both fronts (LEAVE, 1 s in each); which doors let nobody in was asked twice in the clients' front; and the text of each listed host's block was made for every list though nearly all are numbers.

LEAVE stands in front/mod.rs, Door::is_others beside the doors, the text is made when it is needed.

--- a/crates/pipitrun/src/decide.rs
+++ b/crates/pipitrun/src/decide.rs
@@ -80,12 +80,12 @@
         // the caches of two would be trusted to discard each other's repeats.
         let own = |told: &str| xxh3_64(if told.is_empty() { host.host.as_bytes() } else { told.as_bytes() });
         let zone = || (own(&host.site) | 1 << 63) as usize;
-        let block = if host.block.is_null() { String::new() } else { host.block.to_string() };
+        let block = || if host.block.is_null() { String::new() } else { host.block.to_string() };
         Entry {
             server: server_id(&host.host),
             zone: place(&self.names.zones, &host.site).unwrap_or_else(zone),
             kind: place(&self.names.kinds, &host.class).unwrap_or(usize::MAX),
-            cell: host.block.as_u64().unwrap_or_else(|| own(&block)),
+            cell: host.block.as_u64().unwrap_or_else(|| own(&block())),
             phase: phase(&host.health),
             weight: host.share,
             started: (host.born_ms.max(0.0) * 1e6) as Nanos,
--- a/crates/pipitrun/src/front/management.rs
+++ b/crates/pipitrun/src/front/management.rs
@@ -1,6 +1,7 @@
 //! The operators' door: HTTP/1.1, one call to a connection. What a call means is the life cycle's; this reads calls and
 //! writes answers, and lets nobody who says nothing keep others waiting.
 
+use super::LEAVE;
 use crate::counters::Counters;
 use crate::poll::{Poll, Ready, Source, Watched, discard};
 use crate::timers::MS;
@@ -19,8 +20,6 @@
 const HEADERS_MAX: usize = 64;
 /// A call must be whole this long after its connection came.
 const UNFINISHED: Nanos = 2_000 * MS;
-/// Who was answered has this long beyond that to take it and to close.
-const LEAVE: Nanos = 1_000 * MS;
 /// Of what comes behind a call this much is read, so that closing doesn't reset the answer away.
 const DISCARD_MAX: usize = 64 * 1024;
 
--- a/crates/pipitrun/src/front/mod.rs
+++ b/crates/pipitrun/src/front/mod.rs
@@ -2,3 +2,10 @@
 
 pub mod management;
 pub mod resp;
+
+use crate::timers::MS;
+use finchyard::Nanos;
+
+/// Who is sent nothing more has this long to take what it was answered and to close: a far one needs a round trip, a slow
+/// one some more.
+const LEAVE: Nanos = 1_000 * MS;
--- a/crates/pipitrun/src/front/resp.rs
+++ b/crates/pipitrun/src/front/resp.rs
@@ -1,5 +1,6 @@
 //! The RESP front: client connections, commands in, answers out in the order of the commands.
 
+use super::LEAVE;
 use crate::counters::Counters;
 use crate::life_cycle::{Door, Stance};
 use crate::poll::{Poll, Ready, Source, Watched, discard, has_ended, has_unsent, is_silent};
@@ -24,9 +25,6 @@
 const INPUT_MAX: usize = resp::MESSAGE_MAX;
 /// Of what comes behind a command that can't be read this much is taken at a time; who sends faster is closed at once.
 const DISCARD_MAX: usize = 256 * 1024;
-/// A client to whom nothing more is sent has this long to take what it was answered and to close: a far one needs a round
-/// trip, a slow one some more.
-const LEAVE: Nanos = 1_000 * MS;
 /// At most this many connections are taken in one turn of the loop: a flood of them must not hold up the rest.
 const ACCEPT_MAX: usize = 64;
 /// A client that takes none of its answer for this long is given up.
@@ -188,7 +186,7 @@
 
     /// Takes the clients that wait at the door.
     pub fn accept(&mut self, now: Nanos, counters: &mut Counters) {
-        if matches!(self.stance.door, Door::Waits | Door::Left) {
+        if self.stance.door.is_others() {
             return;
         }
         for _ in 0..ACCEPT_MAX {
@@ -242,7 +240,7 @@
     }
 
     fn pause(&mut self, pause: bool) {
-        let pause = pause || matches!(self.stance.door, Door::Waits | Door::Left);
+        let pause = pause || self.stance.door.is_others();
         if let Some(listener) = &mut self.listener
             && self.accepting == pause
         {
--- a/crates/pipitrun/src/life_cycle.rs
+++ b/crates/pipitrun/src/life_cycle.rs
@@ -33,6 +33,13 @@
     Left,
 }
 
+impl Door {
+    /// Nobody is let in here: who comes waits, or is the other process's.
+    pub fn is_others(self) -> bool {
+        matches!(self, Door::Waits | Door::Left)
+    }
+}
+
 /// What follows for client connections at a moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Stance {
