A decision's cost no longer grows with the caches: candidates in a table mended in place

Seen: a request cost 4 us before 13 caches and 100 us before 1,300, a change of one cache 3.4 ms. By a profile and by reading, `ranking` hashed and sorted all caches for each key whose slot was not among the 4,096 kept, and each change of the list threw all of them away. Ruled out: the records of requests and of keys, which do not depend on the caches.

Change: a flat table holds the numbers of the three candidates of each of 65,536 slots (640 KB, from the start). A slot is worked out when first asked for, by one hash a cache and a logarithm for a few (-ln u is at least 1 - u); a cache that goes or comes forgets just the rows that it touches. Beyond the three the first legal one is searched, not the whole order sorted. Housekeeping goes through the caches once, without a look-up for each step.

Test: every slot's candidates, and the order beyond them, are equal to a sort through joins, drains, other weights, restarts and whole lists; a change of one of 400 caches forgets its due of rows and no more.

--- a/crates/finchyard/src/brain.rs
+++ b/crates/finchyard/src/brain.rs
@@ -9,11 +9,10 @@
 use crate::stats::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
+use slots::{Candidates, Ranking, SLOTS};
 use std::collections::{BTreeMap, BTreeSet};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-const SLOTS: usize = 65_536; // So many that each of 150 servers has its even share to a twentieth.
-const SLOTS_KEPT: usize = 4_096; // Beyond that candidates are worked out anew: all would take megabytes.
 const MS: Nanos = 1_000_000;
 const SEC: f64 = 1e9;
 const QUANTILE: f64 = 0.99; // T is this quantile of the record, by the design.
@@ -191,17 +190,8 @@
 
     /// The slot's servers in rank order: by a hash of slot and server id, stretched by the stated weight so
     /// that a server's share of slots follows its size. The list alone decides, never health.
-    fn ranking(&self, slot: usize) -> Vec<ServerId> {
-        let mut ranked: Vec<(f64, ServerId)> = self
-            .caches()
-            .map(|(id, s)| {
-                let hash = xxh3_64_with_seed(&id.0.to_le_bytes(), slot as u64);
-                let u = ((hash >> 11) as f64 + 1.0) / (1u64 << 53) as f64;
-                (-u.ln() / self.weight(&s.entry), *id)
-            })
-            .collect();
-        ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        ranked.into_iter().map(|(_, id)| id).collect()
+    fn ranking(&self, slot: usize) -> Ranking {
+        self.slots.ranking(slot)
     }
 
     fn weight(&self, entry: &Entry) -> f64 {
@@ -209,15 +199,8 @@
         if stated.is_finite() { stated.clamp(0.01, 100.0) } else { 1.0 }
     }
 
-    fn candidates(&mut self, slot: usize) -> Vec<ServerId> {
-        if !self.slots.contains_key(&slot) {
-            if self.slots.len() >= SLOTS_KEPT {
-                self.slots.clear();
-            }
-            let ranked = self.ranking(slot).into_iter().take(CANDIDATES).collect();
-            self.slots.insert(slot, ranked);
-        }
-        self.slots[&slot].clone()
+    fn candidates(&mut self, slot: usize) -> Candidates {
+        self.slots.candidates(slot)
     }
 
     /// Share of its capacity that a server has at least, by the stated cold share and warm-up.
@@ -349,14 +332,19 @@
         } else if copy {
             return Pick::Nowhere;
         }
-        let mut anywhere = self.ranking(r.slot);
-        anywhere.retain(|id| self.legal(r, step(*id)));
-        if let Some(id) = anywhere.iter().find(|id| self.fitness(r, **id, false) == Fitness::Open) {
-            return Pick::To(*id);
+        let mut first_legal = None;
+        for id in self.ranking(r.slot) {
+            if !self.legal(r, step(id)) {
+                continue;
+            }
+            first_legal = first_legal.or(Some(id));
+            if self.fitness(r, id, false) == Fitness::Open {
+                return Pick::To(id);
+            }
         }
         // Nobody is usable: fail open rather than turn everything away.
-        match anywhere.first() {
-            Some(id) if self.cold_room(*id) => Pick::To(*id),
+        match first_legal {
+            Some(id) if self.cold_room(id) => Pick::To(id),
             Some(_) => Pick::Wait(Reason::Cold),
             None => Pick::Nowhere,
         }
@@ -654,9 +642,12 @@
 
     /// The first in rank, beyond the candidates too, not tried yet, that turns little away and has room.
     fn elsewhere(&mut self, r: &Request) -> Option<ServerId> {
-        let mut anywhere = self.ranking(r.slot);
-        anywhere.retain(|id| self.legal(r, Step::Send(*id)) && self.is_calm(*id) && !r.tried(*id));
-        anywhere.into_iter().find(|id| self.fitness(r, *id, false) == Fitness::Open)
+        self.ranking(r.slot).find(|id| {
+            self.legal(r, Step::Send(*id))
+                && self.is_calm(*id)
+                && !r.tried(*id)
+                && self.fitness(r, *id, false) == Fitness::Open
+        })
     }
 
     fn on_begun(&mut self, r: &mut Request, number: AttemptNo) {
@@ -836,7 +827,7 @@
             self.bad += BAD_GAIN * (failed - self.bad);
             s.turned += BAD_GAIN * (f64::from(failed > 0.0) - s.turned);
         }
-        self.suspect(end.server, 0.0);
+        self.with_server(end.server, |me, s| me.suspect(end.server, s, 0.0));
     }
 
     /// Whether its time-outs speak against servers: those of a client that waits less long than answers take
@@ -863,9 +854,8 @@
     }
 
     /// Suspicion once strikes suffice: no draw until a trial after a growing, jittered wait.
-    fn suspect(&mut self, id: ServerId, silent: f64) {
+    fn suspect(&mut self, id: ServerId, s: &mut Server, silent: f64) {
         let jitter = self.random_below(1000) as f64 / 1000.0;
-        let Some(s) = self.servers.get_mut(&id) else { return };
         let waiting = s.suspect_until.is_some_and(|until| self.now < until);
         let enough = STRIKES.max(CHANCE.ln() / self.bad.clamp(0.01, 0.99).ln());
         if s.strikes + silent < enough || waiting {
@@ -887,7 +877,7 @@
         if outcome == Outcome::Ok {
             s.proven = true;
         } else {
-            self.suspect(id, f64::INFINITY);
+            self.with_server(id, |me, s| me.suspect(id, s, f64::INFINITY));
         }
     }
 
@@ -895,25 +885,25 @@
         self.timer(HOUSEKEEPING, Timer::Housekeeping);
         let overdue = self.overdue();
         let least = self.start_limit(1.0);
-        for id in self.servers.keys().copied().collect::<Vec<_>>() {
-            let s = &self.servers[&id];
+        // Out of the table meanwhile: a look-up for each step would cost more than the steps.
+        let mut servers = std::mem::take(&mut self.servers);
+        for (id, s) in &mut servers {
             let unheard = |sent: Nanos| sent >= s.last_answer && self.now.saturating_sub(sent) > overdue;
             let silent = s.out.iter().filter(|o| unheard(o.0)).count();
             let due = s.suspect_until.is_some_and(|until| self.now >= until) && !s.proven;
             if due && self.settings.limits.probes && s.entry.phase == Phase::Up {
-                self.actions.push(Action::Probe(id));
-                self.servers.entry(id).and_modify(|s| s.suspect_until = Some(self.now + BACKOFF_MAX));
+                self.actions.push(Action::Probe(*id));
+                s.suspect_until = Some(self.now + BACKOFF_MAX);
             }
             // Unused room must not let a surge in before latency tells; a limit cut low gets its start back.
-            if let Some(s) = self.servers.get_mut(&id).filter(|s| (s.out.len() as f64) < s.limit / 2.0) {
+            if (s.out.len() as f64) < s.limit / 2.0 {
                 s.limit = (s.limit * LIMIT_FADE).max(least);
             }
-            self.servers.entry(id).and_modify(|s| {
-                s.turned *= TURNED_FADE;
-                s.latency.fade(if s.out.is_empty() { TURNED_FADE } else { 1.0 });
-            });
-            self.suspect(id, silent as f64);
+            s.turned *= TURNED_FADE;
+            s.latency.fade(if s.out.is_empty() { TURNED_FADE } else { 1.0 });
+            self.suspect(*id, s, silent as f64);
         }
+        self.servers = servers;
         self.close_idle();
         self.usual = middle(self.caches().map(|(_, s)| s.latency.now)).unwrap_or(f64::MAX / SLOW);
         self.ready_weight = self.caches().map(|(_, s)| self.weight(&s.entry) * self.ramp(&s.entry)).sum();
@@ -926,15 +916,15 @@
 
     /// Hundreds of routers would fill a server's table with connections that they hardly ever use again.
     fn close_idle(&mut self) {
-        let idle = self.servers.iter().filter_map(|(id, s)| Some((s.idle_since?, *id)));
-        let mut idle: Vec<(Nanos, ServerId)> = idle.collect();
-        idle.sort();
+        let idle = || self.servers.iter().filter_map(|(id, s)| Some((s.idle_since?, *id)));
         let keep = IDLE_CONNECTIONS * self.servers.len() / self.settings.routers.max(1);
-        for (since, id) in idle.iter().take(idle.len().saturating_sub(keep)) {
-            if self.now.saturating_sub(*since) >= IDLE_LEAST {
-                self.actions.push(Action::Close(*id));
-                self.servers.entry(*id).and_modify(|s| s.idle_since = None);
-            }
+        let beyond = idle().count().saturating_sub(keep);
+        let is_long = |(since, _): &(Nanos, ServerId)| self.now.saturating_sub(*since) >= IDLE_LEAST;
+        let mut longest: Vec<(Nanos, ServerId)> = idle().filter(is_long).collect();
+        longest.sort_unstable();
+        for (_, id) in longest.into_iter().take(beyond) {
+            self.actions.push(Action::Close(id));
+            self.servers.entry(id).and_modify(|s| s.idle_since = None);
         }
     }
 
@@ -977,21 +967,24 @@
             }
             known.entry = entry;
         }
-        let weights: Vec<f64> = self.caches().map(|(_, s)| self.weight(&s.entry)).collect();
-        self.total_weight = weights.iter().sum();
+        let caches: Vec<(ServerId, f64)> =
+            self.caches().map(|(id, s)| (*id, self.weight(&s.entry))).collect();
+        self.total_weight = caches.iter().map(|(_, weight)| weight).sum();
         self.ready_weight = self.total_weight;
-        self.mean_weight = self.total_weight / weights.len().max(1) as f64;
-        for id in self.servers.keys().copied().collect::<Vec<_>>() {
+        self.mean_weight = self.total_weight / caches.len().max(1) as f64;
+        let unknown = self.servers.iter().filter(|(_, s)| s.limit == 0.0).map(|(id, _)| *id);
+        for id in unknown.collect::<Vec<_>>() {
             let start = self.start_limit(self.size(id));
-            self.servers.entry(id).and_modify(|s| s.limit = if s.limit == 0.0 { start } else { s.limit });
+            self.servers.entry(id).and_modify(|s| s.limit = start);
         }
-        self.slots.clear();
+        self.slots.set_caches(&caches);
         self.release_held();
     }
 }
 
 mod learnt;
 mod plumbing;
+mod slots;
 mod tables;
 mod why;
 pub use learnt::Learnt;
--- a/crates/finchyard/src/brain/plumbing.rs
+++ b/crates/finchyard/src/brain/plumbing.rs
@@ -16,6 +16,13 @@
         }
     }
 
+    /// Runs `f` on a listed cache, out of the table meanwhile.
+    pub(super) fn with_server(&mut self, id: ServerId, f: impl FnOnce(&mut Self, &mut Server)) {
+        let Some(mut server) = self.servers.get_mut(&id).map(std::mem::take) else { return };
+        f(self, &mut server);
+        self.servers.insert(id, server);
+    }
+
     pub(super) fn timer(&mut self, after: Nanos, timer: Timer) {
         self.next_token += 1;
         self.timers.insert(self.next_token, timer);
--- /dev/null
+++ b/crates/finchyard/src/brain/slots/tests.rs
@@ -0,0 +1,159 @@
+//! The table against the plain way to rank: a score for each cache, and a sort.
+
+use super::super::tests::settings;
+use super::*;
+use crate::api::{Entry, ListScope, Phase};
+use crate::brain::Brain;
+use rand_core::{RngCore, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+
+/// All caches at a slot, best first, by a sort of all scores.
+fn sorted(caches: &BTreeMap<u64, Entry>, slot: usize) -> Vec<ServerId> {
+    let mut ranked: Vec<(f64, ServerId)> = caches
+        .iter()
+        .filter(|(_, entry)| entry.phase == Phase::Up)
+        .map(|(id, entry)| {
+            let hash = xxh3_64_with_seed(&id.to_le_bytes(), slot as u64);
+            let u = ((hash >> 11) as f64 + 1.0) / (1u64 << 53) as f64;
+            (-u.ln() / entry.weight, ServerId(*id))
+        })
+        .collect();
+    ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+    ranked.into_iter().map(|(_, id)| id).collect()
+}
+
+/// A list that changes at random, and the module that is told of it.
+struct Course {
+    rng: Xoshiro256PlusPlus,
+    caches: BTreeMap<u64, Entry>,
+    brain: Brain,
+}
+
+impl Course {
+    fn new(seed: u64, count: u64) -> Self {
+        let brain = Brain::new(settings(), 1, 0).expect("settings make sense");
+        let mut course =
+            Course { rng: Xoshiro256PlusPlus::seed_from_u64(seed), caches: BTreeMap::new(), brain };
+        (0..count).for_each(|id| course.join(id));
+        course
+    }
+
+    fn below(&mut self, n: usize) -> usize {
+        (self.rng.next_u64() % n as u64) as usize
+    }
+
+    fn tell(&mut self, entry: Entry) {
+        self.caches.insert(entry.server.0, entry);
+        self.brain.on_list(ListScope::Patch, vec![entry]);
+    }
+
+    fn join(&mut self, id: u64) {
+        let weight = [1.0, 1.0, 1.0, 0.25, 2.0, 7.5][self.below(6)];
+        self.tell(Entry { server: ServerId(id), weight, ..Entry::default() });
+    }
+
+    fn any(&mut self) -> u64 {
+        let chosen = self.below(self.caches.len());
+        *self.caches.keys().nth(chosen).expect("there are some")
+    }
+
+    /// One change of the list: a join, a drain, a restart, another weight, a removal, or a whole list.
+    fn step(&mut self, next_id: u64) {
+        let chosen = self.any();
+        let entry = self.caches[&chosen];
+        match self.below(6) {
+            0 => self.join(next_id),
+            1 => self.tell(Entry { phase: Phase::Draining, ..entry }),
+            2 => self.tell(Entry { phase: Phase::Up, started: entry.started + 1, ..entry }),
+            3 => self.join(chosen),
+            4 => {
+                self.caches.remove(&chosen);
+                let gone = Entry { phase: Phase::Removed, ..entry };
+                self.brain.on_list(ListScope::Patch, vec![gone]);
+            }
+            _ => {
+                self.caches.remove(&chosen);
+                self.caches.insert(next_id, Entry { server: ServerId(next_id), ..entry });
+                self.brain.on_list(ListScope::Whole, self.caches.values().copied().collect());
+            }
+        }
+    }
+
+    fn check(&mut self, slot: usize) {
+        let sorted = sorted(&self.caches, slot);
+        let first = &sorted[..sorted.len().min(CANDIDATES)];
+        assert_eq!(*self.brain.slots.candidates(slot), *first, "slot {slot}");
+        let beyond: Vec<ServerId> = self.brain.slots.ranking(slot).collect();
+        assert_eq!(beyond, sorted, "slot {slot}");
+    }
+}
+
+#[test]
+fn every_slot_is_ranked_as_by_a_sort_through_joins_drains_restarts_and_whole_lists() {
+    for (seed, count) in [(1, 1), (2, 4), (3, 40)] {
+        let mut course = Course::new(seed, count);
+        for step in 0..40 {
+            // All rows hold candidates when the change comes: it has to mend them.
+            (0..SLOTS).for_each(|slot| _ = course.brain.slots.candidates(slot));
+            course.step(1_000 + step);
+            if course.caches.is_empty() {
+                course.join(0);
+            }
+            for _ in 0..200 {
+                let slot = course.below(SLOTS);
+                course.check(slot);
+            }
+        }
+        (0..SLOTS).for_each(|slot| course.check(slot));
+    }
+}
+
+#[test]
+fn a_change_of_one_cache_forgets_the_rows_that_it_touches_and_few_others() {
+    let mut course = Course::new(4, 0);
+    let count = 400;
+    let all = (0..count).map(|id| Entry { server: ServerId(id), weight: 1.0, ..Entry::default() });
+    all.for_each(|entry| course.tell(entry));
+    let forgotten = |course: &mut Course, entry: Entry| {
+        (0..SLOTS).for_each(|slot| _ = course.brain.slots.candidates(slot));
+        assert_eq!(course.brain.slots.filled, SLOTS);
+        course.tell(entry);
+        SLOTS - course.brain.slots.filled
+    };
+    let due = CANDIDATES * SLOTS / count as usize;
+    let near = due * 3 / 4..due * 5 / 4;
+    let entry = course.caches[&77];
+    let drained = forgotten(&mut course, Entry { phase: Phase::Draining, ..entry });
+    assert!(near.contains(&drained), "{drained} of {due}");
+    let back = forgotten(&mut course, entry);
+    assert!(near.contains(&back), "{back} of {due}");
+    assert_eq!(forgotten(&mut course, Entry { started: 5, ..entry }), 0, "a restart moves nothing");
+    assert_eq!(forgotten(&mut course, entry), 0);
+}
+
+#[test]
+fn caches_beyond_the_numbers_of_a_row_are_ranked_all_the_same() {
+    let caches = u64::from(NO_CACHE) + 40;
+    let mut table = SlotTable::new();
+    let listed: Vec<(ServerId, f64)> = (0..caches).map(|id| (ServerId(id), 1.0)).collect();
+    table.set_caches(&listed);
+    let entry = |id| (id, Entry { server: ServerId(id), weight: 1.0, ..Entry::default() });
+    let all: BTreeMap<u64, Entry> = (0..caches).map(entry).collect();
+    // Only those slots are interesting that one of the last caches is a candidate of; some have none.
+    let late = |slot: &usize| sorted(&all, *slot)[..CANDIDATES].iter().any(|id| id.0 >= u64::from(NO_CACHE));
+    let slots: Vec<usize> = (0..SLOTS).step_by(997).filter(late).chain([0, 1]).collect();
+    for slot in slots {
+        for _ in 0..2 {
+            assert_eq!(*table.candidates(slot), sorted(&all, slot)[..CANDIDATES]);
+        }
+    }
+}
+
+#[test]
+fn without_caches_there_are_no_candidates() {
+    let mut table = SlotTable::new();
+    assert!(table.candidates(3).is_empty());
+    assert_eq!(table.ranking(3).count(), 0);
+    table.set_caches(&[(ServerId(8), 1.0)]);
+    assert_eq!(*table.candidates(3), [ServerId(8)]);
+}
--- a/crates/finchyard/src/brain/tables.rs
+++ b/crates/finchyard/src/brain/tables.rs
@@ -1,5 +1,6 @@
 //! The tables of one router, and how they stand at its start. Nothing is decided here.
 
+use super::slots::SlotTable;
 use super::*;
 
 /// The decisions of one router.
@@ -14,8 +15,7 @@
     pub(super) actions: Vec<Action>,
     pub(super) rng: Xoshiro256PlusPlus,
     pub(super) servers: BTreeMap<ServerId, Server>,
-    /// Candidates of each slot, filled when first needed, emptied when the list changes.
-    pub(super) slots: BTreeMap<usize, Vec<ServerId>>,
+    pub(super) slots: SlotTable,
     pub(super) total_weight: f64,
     /// The same with cold servers at their present share.
     pub(super) ready_weight: f64,
@@ -76,7 +76,7 @@
             actions: Vec::new(),
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             servers: BTreeMap::new(),
-            slots: BTreeMap::new(),
+            slots: SlotTable::new(),
             total_weight: 0.0,
             ready_weight: 0.0,
             mean_weight: 1.0,
--- a/crates/finchyard/src/brain/tests.rs
+++ b/crates/finchyard/src/brain/tests.rs
@@ -59,7 +59,7 @@
 
 /// The candidates for key 9.
 fn candidates_of_9(brain: &mut Brain) -> Vec<ServerId> {
-    brain.candidates(slot_of_9())
+    brain.candidates(slot_of_9()).to_vec()
 }
 
 fn slot_of_9() -> usize {
@@ -144,13 +144,13 @@
 #[test]
 fn ranking_keeps_its_order_when_one_server_leaves() {
     let mut brain = brain(10);
-    let before: Vec<_> = (0..SLOTS).map(|s| brain.ranking(s)).collect();
+    let before: Vec<_> = (0..SLOTS).map(|s| brain.ranking(s).collect::<Vec<_>>()).collect();
     let gone = Entry { server: ServerId(4), phase: Phase::Removed, ..Entry::default() };
     brain.on_list(ListScope::Patch, vec![gone]);
     for (slot, mut ranked) in before.into_iter().enumerate() {
         ranked.retain(|id| *id != ServerId(4));
-        assert_eq!(brain.ranking(slot), ranked);
-        assert_eq!(brain.candidates(slot), ranked[..3]);
+        assert!(brain.ranking(slot).eq(ranked.iter().copied()));
+        assert_eq!(*brain.candidates(slot), ranked[..3]);
     }
 }
 
@@ -159,7 +159,7 @@
     let mut brain = brain(3);
     let big = Entry { server: ServerId(3), weight: 2.0, ..Entry::default() };
     brain.on_list(ListScope::Patch, vec![big]);
-    let first = (0..SLOTS).filter(|s| brain.ranking(*s)[0] == ServerId(3)).count();
+    let first = (0..SLOTS).filter(|s| brain.ranking(*s).next() == Some(ServerId(3))).count();
     assert!((SLOTS * 45 / 100..SLOTS * 55 / 100).contains(&first), "{first}");
 }
 
@@ -624,7 +624,7 @@
         let mut n = 0;
         while brain.servers[&ServerId(1)].suspect_until.is_none() {
             brain.servers.get_mut(&ServerId(1)).expect("listed").strikes += 1.0;
-            brain.suspect(ServerId(1), 0.0);
+            brain.with_server(ServerId(1), |me, s| me.suspect(ServerId(1), s, 0.0));
             n += 1;
         }
         n
--- a/crates/finchyard/src/stats.rs
+++ b/crates/finchyard/src/stats.rs
@@ -173,6 +173,9 @@
 /// The middle one of these, those at 0 (nothing known) left out.
 pub(crate) fn middle(values: impl Iterator<Item = f64>) -> Option<f64> {
     let mut values: Vec<f64> = values.filter(|v| *v > 0.0).collect();
-    values.sort_by(f64::total_cmp);
-    values.get(values.len() / 2).copied()
+    if values.is_empty() {
+        return None;
+    }
+    let middle = values.len() / 2;
+    Some(*values.select_nth_unstable_by(middle, f64::total_cmp).1)
 }
--- /dev/null
+++ b/crates/trials/src/decisions.rs
@@ -0,0 +1,284 @@
+//! What the decision module costs, by the number of caches: a [`Brain`] driven by hand, without sockets.
+//!
+//! Reads of random keys arrive at a steady rate, each is answered after the same time, and each second one cache
+//! goes or another comes. Time is taken on the machine's clock round each event. The rows of the table of candidates
+//! fill up while the run warms up; that is measured apart, as the cost of a first request.
+
+use finchyard::*;
+use rand::{RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+const MS: Nanos = 1_000_000;
+const S: Nanos = 1_000 * MS;
+/// Requests a second: the plan's 4.4 million over its 4,600 balancers.
+pub const REQUESTS_PER_S: u64 = 956;
+/// How long a cache takes to answer.
+const ANSWER_AFTER: Nanos = 8 * MS;
+/// A cache goes, and as long after it another comes.
+const CHANGE_EVERY: Nanos = S;
+const PATIENCE: Nanos = 1_000 * MS;
+/// After so long nearly all slots have been asked for.
+const WARM_UP: Nanos = 300 * S;
+
+/// What one number of caches costs.
+#[derive(Clone, Debug, Serialize)]
+pub struct Cost {
+    /// Caches listed.
+    pub caches: usize,
+    /// A request and all that follows from it, once its slot's candidates are known, in microseconds.
+    pub request_us: f64,
+    /// The same in the first seconds, while nearly each request is its slot's first.
+    pub first_request_us: f64,
+    /// A message by which one cache goes or comes, in milliseconds.
+    pub change_ms: f64,
+    /// One round of housekeeping, ten a second, in milliseconds.
+    pub housekeeping_ms: f64,
+    /// All of it at this rate, as a share of a core in percent.
+    pub core_percent: f64,
+}
+
+impl Cost {
+    fn take_least(&mut self, other: &Cost) {
+        self.request_us = self.request_us.min(other.request_us);
+        self.first_request_us = self.first_request_us.min(other.first_request_us);
+        self.change_ms = self.change_ms.min(other.change_ms);
+        self.housekeeping_ms = self.housekeeping_ms.min(other.housekeeping_ms);
+        self.core_percent = self.core_percent.min(other.core_percent);
+    }
+}
+
+/// What an event is booked under.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Account {
+    Request,
+    Change,
+    Housekeeping,
+}
+
+/// What is due in the driven module.
+enum Due {
+    Arrival,
+    Answer(RequestId, AttemptNo, ServerId, Nanos),
+    Change,
+    Timer(Token),
+}
+
+struct Driver {
+    brain: Brain,
+    rng: Xoshiro256PlusPlus,
+    due: BTreeMap<(Nanos, u64), Due>,
+    set: u64,
+    requests: u128,
+    caches: Vec<u64>,
+    /// How many caches are listed while none is gone.
+    listed: usize,
+    next_cache: u64,
+    /// Time and count since the last reset.
+    spent: BTreeMap<Account, (f64, u64)>,
+}
+
+fn settings() -> Settings {
+    Settings {
+        classes: vec![Class {
+            effect: Effect::Safe,
+            aim: 200 * MS,
+            deadline: PATIENCE,
+            worth: 1.0,
+            late_value: 0.0,
+        }],
+        tenants: Vec::new(),
+        over_share_worth: 0.0,
+        // So few that no request waits for room: that would be counted too.
+        routers: 3,
+        origin: Origin::Through,
+        discovery: Discovery::Pushed,
+        live_weights: false,
+        limits: Limits {
+            max_attempts: 3,
+            second_copies: true,
+            cancel: true,
+            probes: false,
+            retry_after: false,
+            max_retry_after: 0,
+        },
+        rules: Rules {
+            answer_slack: 20 * MS,
+            drain_grace: 250 * MS,
+            cold_from: 0.2,
+            warm_after: 10 * S,
+            overload_factor: 2.5,
+            tip_after: 3 * S,
+        },
+        tick: MS,
+    }
+}
+
+fn entry(cache: u64, phase: Phase) -> Entry {
+    Entry { server: ServerId(cache), weight: 1.0, phase, ..Entry::default() }
+}
+
+impl Driver {
+    fn new(caches: usize, seed: u64) -> Result<Self, String> {
+        let brain = Brain::new(settings(), seed, 0).map_err(|e| e.to_string())?;
+        let mut driver = Driver {
+            brain,
+            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+            due: BTreeMap::new(),
+            set: 0,
+            requests: 0,
+            caches: (1..=caches as u64).collect(),
+            listed: caches,
+            next_cache: caches as u64 + 1,
+            spent: BTreeMap::new(),
+        };
+        let entries = driver.caches.iter().map(|cache| entry(*cache, Phase::Up)).collect();
+        driver.tell(0, Event::List { scope: ListScope::Whole, entries }, Account::Change);
+        driver.push(0, Due::Arrival);
+        driver.push(CHANGE_EVERY, Due::Change);
+        Ok(driver)
+    }
+
+    fn push(&mut self, at: Nanos, due: Due) {
+        self.set += 1;
+        self.due.insert((at, self.set), due);
+    }
+
+    /// Hands an event to the module, books its time, and plays what it asks for.
+    fn tell(&mut self, now: Nanos, event: Event, account: Account) {
+        let mut actions = Vec::new();
+        let begun = Instant::now();
+        self.brain.handle(now, event, &mut actions);
+        let spent = self.spent.entry(account).or_default();
+        spent.0 += begun.elapsed().as_secs_f64();
+        spent.1 += 1;
+        for action in actions {
+            match action {
+                Action::Send { request, attempt, server, .. } => {
+                    self.push(now + ANSWER_AFTER, Due::Answer(request, attempt, server, now));
+                }
+                Action::Timer { after, token } => self.push(now + after, Due::Timer(token)),
+                _ => {}
+            }
+        }
+    }
+
+    fn arrival(&mut self, now: Nanos) {
+        self.requests += 1;
+        let read = NewRequest {
+            id: RequestId(self.requests),
+            class: ClassId(0),
+            tenant: None,
+            key: Some(Key(self.rng.random())),
+            patience: PATIENCE,
+            work: None,
+            write: false,
+        };
+        self.push(now + S / REQUESTS_PER_S, Due::Arrival);
+        self.tell(now, Event::Request(read), Account::Request);
+    }
+
+    fn answer(
+        &mut self,
+        now: Nanos,
+        (request, attempt, server, sent): (RequestId, AttemptNo, ServerId, Nanos),
+    ) {
+        let end = Ended {
+            request,
+            attempt,
+            server,
+            outcome: Outcome::Ok,
+            latency: now - sent,
+            finished: true,
+            note: Some(CacheNote::Hit),
+            load: None,
+        };
+        self.tell(now, Event::Ended(end), Account::Request);
+    }
+
+    /// One cache goes, or another comes in the place of the one that went before.
+    fn change(&mut self, now: Nanos) {
+        let entry = if self.caches.len() == self.listed {
+            let chosen = self.rng.random_range(0..self.caches.len());
+            entry(self.caches.swap_remove(chosen), Phase::Removed)
+        } else {
+            self.caches.push(self.next_cache);
+            self.next_cache += 1;
+            entry(self.next_cache - 1, Phase::Up)
+        };
+        self.push(now + CHANGE_EVERY, Due::Change);
+        self.tell(now, Event::List { scope: ListScope::Patch, entries: vec![entry] }, Account::Change);
+    }
+
+    fn play(&mut self, until: Nanos) {
+        while let Some(entry) = self.due.first_entry().filter(|entry| entry.key().0 < until) {
+            let ((now, _), due) = entry.remove_entry();
+            match due {
+                Due::Arrival => self.arrival(now),
+                Due::Answer(request, attempt, server, sent) => {
+                    self.answer(now, (request, attempt, server, sent));
+                }
+                Due::Change => self.change(now),
+                Due::Timer(token) => {
+                    // A deadline or a copy that is no longer wanted costs next to nothing; the rest is housekeeping.
+                    let account =
+                        if self.is_housekeeping(now) { Account::Housekeeping } else { Account::Request };
+                    self.tell(now, Event::Timer(token), account);
+                }
+            }
+        }
+    }
+
+    /// Housekeeping is due at whole tenths of a second; of the timers of requests next to none is.
+    fn is_housekeeping(&self, now: Nanos) -> bool {
+        now.is_multiple_of(100 * MS)
+    }
+
+    fn mean(&self, account: Account) -> f64 {
+        self.spent.get(&account).map_or(0.0, |(seconds, count)| seconds / (*count).max(1) as f64)
+    }
+
+    fn seconds(&self, account: Account) -> f64 {
+        self.spent.get(&account).map_or(0.0, |(seconds, _)| *seconds)
+    }
+}
+
+/// Measures these numbers of caches in turn, so many times, over so many seconds of the module's time each, and takes
+/// the least of each figure: what else the machine does only ever adds to it.
+///
+/// # Errors
+///
+/// Says what of the settings makes no sense.
+pub fn measure(caches: &[usize], seconds: u64, rounds: u64) -> Result<Vec<Cost>, String> {
+    let round = |seed: u64| -> Result<Vec<Cost>, String> {
+        caches.iter().map(|count| measure_once(*count, seconds, seed)).collect()
+    };
+    let mut least = round(1)?;
+    for seed in 2..=rounds {
+        let again = round(seed)?;
+        least.iter_mut().zip(&again).for_each(|(cost, other)| cost.take_least(other));
+    }
+    Ok(least)
+}
+
+fn measure_once(caches: usize, seconds: u64, seed: u64) -> Result<Cost, String> {
+    let mut driver = Driver::new(caches, seed)?;
+    driver.play(S);
+    let first_request_us = driver.seconds(Account::Request) / driver.requests as f64 * 1e6;
+    driver.play(WARM_UP);
+    driver.spent.clear();
+    let before = driver.requests;
+    driver.play(WARM_UP + seconds * S);
+    let requests = (driver.requests - before) as f64;
+    let all: f64 = driver.spent.values().map(|(seconds, _)| seconds).sum();
+    Ok(Cost {
+        caches,
+        request_us: driver.seconds(Account::Request) / requests * 1e6,
+        first_request_us,
+        change_ms: driver.mean(Account::Change) * 1e3,
+        housekeeping_ms: driver.mean(Account::Housekeeping) * 1e3,
+        core_percent: all / seconds as f64 * 100.0,
+    })
+}
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 
 pub mod chart;
+pub mod decisions;
 pub mod faults;
 pub mod ground;
 pub mod member;
--- a/crates/trials/src/main.rs
+++ b/crates/trials/src/main.rs
@@ -4,7 +4,7 @@
 use pipitrun_fleet::MS;
 use pipitrun_trials::ground::Plan;
 use pipitrun_trials::play::{Report, play};
-use pipitrun_trials::{chart, mutations, scenarios, virtual_overload, virtual_trials};
+use pipitrun_trials::{chart, decisions, mutations, scenarios, virtual_overload, virtual_trials};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -103,6 +103,19 @@
         #[arg(long, default_value_t = 60)]
         most: u64,
     },
+    /// What a decision costs by the number of caches; the last line is the ratio of a request's cost, largest over smallest
+    /// number.
+    Decisions {
+        /// Numbers of caches.
+        #[arg(long, value_delimiter = ',', default_values_t = [13, 50, 200, 1_300])]
+        caches: Vec<usize>,
+        /// How long each is measured, in seconds of the module's time.
+        #[arg(long, default_value_t = 60)]
+        seconds: u64,
+        /// So often; the least of each figure counts.
+        #[arg(long, default_value_t = 5)]
+        rounds: u64,
+    },
     /// The greatest sum of shares through splits in virtual time, by the rule and without it.
     Shares {
         /// Members.
@@ -149,6 +162,7 @@
             Ok(ExitCode::SUCCESS)
         }
         Command::Levels { members, loss, seeds } => levels(&members, &loss, seeds),
+        Command::Decisions { caches, seconds, rounds } => decisions(&caches, seconds, rounds),
         Command::Shares { members, seeds } => shares(members, seeds),
         Command::Chart { reports, measured, out } => chart(&reports, measured, &out),
         Command::Mutations { program } => mutations(program),
@@ -216,6 +230,28 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn decisions(caches: &[usize], seconds: u64, rounds: u64) -> Result<ExitCode, String> {
+    let costs = decisions::measure(caches, seconds, rounds)?;
+    println!("caches  request us  first request us  change ms  housekeeping ms  core %");
+    for cost in &costs {
+        println!(
+            "{:6}  {:10.2}  {:16.2}  {:9.3}  {:15.3}  {:6.2}",
+            cost.caches,
+            cost.request_us,
+            cost.first_request_us,
+            cost.change_ms,
+            cost.housekeeping_ms,
+            cost.core_percent
+        );
+    }
+    let least = costs.iter().min_by_key(|cost| cost.caches);
+    let most = costs.iter().max_by_key(|cost| cost.caches);
+    if let (Some(least), Some(most)) = (least, most) {
+        println!("ratio {:.2}", most.request_us / least.request_us);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 fn shares(members: usize, seeds: u64) -> Result<ExitCode, String> {
     for parts in [2, 3, 5] {
         let (mut by_rule, mut at_once) = (0f64, 0f64);
