A calm fleet's turn no longer goes through all members; member.rs split by job

Seen: processor time a member grew by about n^1.5 though nothing happened. By a profile of 300 members: in each of some thirty turns a second a member listed and sorted all living members, summed up the whole membership, looked up each one's record, and counted all places. Ruled out: the datagrams (30 a second whatever the size) and the referee (asked only while views settle).

Change: `roster.rs` keeps the list of the living and the suspects, and goes through the members only after a call of `foca` that may have changed them. Records keep who is news, what changed since the last look, and whether any was missing; the count keeps the vanished apart from those who are there. `member.rs` (765 lines) is split into swim, listen, spread, roster and traffic.

--- a/crates/fleet/src/count.rs
+++ b/crates/fleet/src/count.rs
@@ -16,14 +16,16 @@
 
 use crate::Nanos;
 use crate::planted::{self, Fault};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// One balancer's count of all.
 #[derive(Clone, Debug)]
 pub struct Count {
-    /// Who is or was there; since when it is not.
-    places: BTreeMap<SocketAddr, Option<Nanos>>,
+    /// Who is there.
+    present: BTreeSet<SocketAddr>,
+    /// Who was there and said nothing when it went; since when it is not.
+    vanished: BTreeMap<SocketAddr, Nanos>,
     hold: Nanos,
     forget: Nanos,
     /// What was last divided by.
@@ -33,52 +35,53 @@
 impl Count {
     /// One balancer alone.
     pub fn new(hold: Nanos, forget: Nanos) -> Self {
-        Count { places: BTreeMap::new(), hold, forget, last: 1 }
+        Count { present: BTreeSet::new(), vanished: BTreeMap::new(), hold, forget, last: 1 }
     }
 
     /// Another balancer is there.
     pub fn appeared(&mut self, who: SocketAddr) {
-        self.places.insert(who, None);
+        self.vanished.remove(&who);
+        self.present.insert(who);
     }
 
     /// It has gone and said so.
     pub fn left(&mut self, who: SocketAddr) {
-        if self.places.remove(&who).is_some() {
+        if self.present.remove(&who) || self.vanished.remove(&who).is_some() {
             self.last = self.last.saturating_sub(1).max(1);
         }
     }
 
     /// It is there no more, and said nothing.
     pub fn vanished(&mut self, now: Nanos, who: SocketAddr) {
-        if let Some(since) = self.places.get_mut(&who) {
-            since.get_or_insert(now);
+        if self.present.remove(&who) {
+            self.vanished.insert(who, now);
         }
     }
 
     /// How many places there are, this balancer's own included. Others are told it, so that newcomers on either side
     /// of a split divide as those who are there do.
     pub fn places(&self) -> usize {
-        1 + self.places.len()
+        1 + self.present.len() + self.vanished.len()
     }
 
     /// Those who are there, this one included.
     pub fn living(&self) -> usize {
-        1 + self.places.values().filter(|since| since.is_none()).count()
+        1 + self.present.len()
     }
 
     /// By how many to divide now. `told`: the most places that any living member tells of.
     pub fn now(&mut self, now: Nanos, told: usize) -> usize {
         let forget = self.forget;
-        let before = self.places.len();
-        self.places.retain(|_, since| since.is_none_or(|since| now.saturating_sub(since) < forget));
-        self.last = self.last.saturating_sub(before - self.places.len()).max(1);
+        let before = self.vanished.len();
+        self.vanished.retain(|_, since| now.saturating_sub(*since) < forget);
+        self.last = self.last.saturating_sub(before - self.vanished.len()).max(1);
         let living = self.living();
         if planted::is(Fault::CountsOwnSideAtOnce) {
             return living;
         }
         let hold = self.hold;
-        let held = |since: &Option<Nanos>| since.is_some_and(|since| now.saturating_sub(since) < hold);
-        let counted = living + self.places.values().filter(|since| held(since)).count();
+        let held = |since: &Nanos| now.saturating_sub(*since) < hold;
+        let counted = living + self.vanished.values().filter(|since| held(since)).count();
         let all = self.places().max(told);
         if 2 * living > all {
             self.last = counted;
--- a/crates/fleet/src/member/agree.rs
+++ b/crates/fleet/src/member/agree.rs
@@ -1,7 +1,8 @@
 //! What members agree on beyond who is there: lists compared with those of others ([`crate::compare`]), and the level by
 //! which all shed load.
 
-use super::{GOSSIP, GOSSIP_TO, Member, Runtime};
+use super::Member;
+use super::swim::{GOSSIP, GOSSIP_TO, Runtime};
 use crate::compare::{self, Entry};
 use crate::envelope::Kind;
 use crate::overload::{Overload, Tally, Word};
@@ -103,6 +104,7 @@
         let mut runtime = Runtime::default();
         // Its errors are those of sending.
         let _ = self.swim.apply_many(news.into_iter(), true, &mut runtime);
+        self.roster.touch();
         self.carry_out(runtime);
         self.leap();
         for wanted in want.chunks(crate::records::WANT_MAX).take(2) {
--- a/crates/fleet/src/member/table.rs
+++ b/crates/fleet/src/member/table.rs
@@ -1,6 +1,6 @@
 //! The members as they were last seen, and what changed since.
 
-use super::Swim;
+use super::swim::Swim;
 use crate::count::Count;
 use crate::records::{Phase, Records};
 use crate::{Change, Identity, Nanos, Seen, State};
@@ -16,11 +16,20 @@
     count: usize,
     /// The most places that any living member tells of.
     told: usize,
-    /// What the last full look was taken of.
-    mark: (u64, u64),
+    /// The membership that the last full look was taken of.
+    mark: u64,
     turned: bool,
 }
 
+/// What a look is taken of.
+pub(super) struct Sources<'a> {
+    pub(super) now: Nanos,
+    pub(super) own: Identity,
+    pub(super) swim: &'a Swim,
+    pub(super) records: &'a mut Records,
+    pub(super) count: &'a mut Count,
+}
+
 /// What a member is, by what `foca` and its own record say.
 fn state(swim: foca::State, phase: Option<Phase>) -> State {
     match (swim, phase) {
@@ -33,19 +42,6 @@
     }
 }
 
-/// Differs, as good as surely, where anything of the membership does. A full look costs far more than this, and calm
-/// fleets change seldom.
-fn mark(swim: &Swim) -> u64 {
-    let mut mark = 1u64;
-    for member in swim.iter_membership_state() {
-        let of =
-            (member.id().generation << 18) ^ (u64::from(member.incarnation()) << 2) ^ member.state() as u64;
-        let port = u64::from(member.id().address.port());
-        mark = (mark.rotate_left(5) ^ of ^ (port << 48)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    }
-    mark
-}
-
 impl Table {
     pub(super) fn members(&self) -> impl Iterator<Item = &Seen> {
         self.seen.values()
@@ -64,21 +60,17 @@
         self.count
     }
 
-    /// Takes over what is known now, and says what changed.
-    pub(super) fn look(
-        &mut self,
-        now: Nanos,
-        own: Identity,
-        swim: &Swim,
-        records: &Records,
-        count: &mut Count,
-        changes: &mut Vec<Change>,
-    ) {
-        let mark = (mark(swim), records.changes());
-        self.turned = mark != self.mark;
+    /// Takes over what is known now, and says what changed. `mark` is the membership's checksum.
+    pub(super) fn look(&mut self, mark: u64, sources: Sources<'_>, changes: &mut Vec<Change>) {
+        let Sources { now, own, swim, records, count } = sources;
+        let (told_anew, urgent) = records.take_touched();
+        let members_changed = mark != self.mark;
+        self.turned = members_changed || urgent;
         if self.turned {
             self.mark = mark;
-            self.look_closely(now, own, swim, records, count, changes);
+            self.look_closely(Sources { now, own, swim, records, count }, changes);
+        } else if !told_anew.is_empty() {
+            self.take_over_soft(&told_anew, records);
         }
         let is = count.now(now, self.told);
         if is != self.count {
@@ -87,15 +79,21 @@
         }
     }
 
-    fn look_closely(
-        &mut self,
-        now: Nanos,
-        own: Identity,
-        swim: &Swim,
-        records: &Records,
-        count: &mut Count,
-        changes: &mut Vec<Change>,
-    ) {
+    /// Takes over what these members said last; nothing of it changes what they are.
+    fn take_over_soft(&mut self, told_anew: &BTreeSet<SocketAddr>, records: &Records) {
+        for address in told_anew {
+            let Some(seen) = self.seen.get_mut(address) else { continue };
+            if let Some(record) = records.of(&seen.id) {
+                seen.soft = Some(record.soft.clone());
+            }
+        }
+        let there = self.seen.values().filter(|seen| seen.state.is_there());
+        let places = there.filter_map(|seen| seen.soft.as_ref()).map(|soft| usize::from(soft.places));
+        self.told = places.max().unwrap_or(0);
+    }
+
+    fn look_closely(&mut self, sources: Sources<'_>, changes: &mut Vec<Change>) {
+        let Sources { now, own, swim, records, count } = sources;
         let mut here = BTreeSet::new();
         let mut told = 0;
         for member in swim.iter_membership_state().filter(|m| m.id().address != own.address) {
--- a/crates/fleet/src/records.rs
+++ b/crates/fleet/src/records.rs
@@ -3,8 +3,9 @@
 use crate::planted::{self, Fault};
 use crate::{Identity, MS, Nanos, envelope::PAYLOAD_MAX};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::ops::Bound::{Excluded, Included, Unbounded};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// The longest name that is told, in bytes.
@@ -112,8 +113,12 @@
     /// Where the round of records that are told once more goes on.
     round: Option<SocketAddr>,
     wanted: Nanos,
-    /// Counts up with each change of any record.
-    changes: u64,
+    /// Whose records are rumours still.
+    news: BTreeSet<SocketAddr>,
+    /// Whose records changed since the last look, and whether one of them changed in what all should know soon.
+    touched: (BTreeSet<SocketAddr>, bool),
+    /// The membership, by its checksum, of which no record was missing.
+    complete: Option<u64>,
 }
 
 /// Cuts a text to so many bytes.
@@ -125,9 +130,17 @@
 impl Records {
     /// The member's own record alone.
     pub fn new(own: Record) -> Self {
-        let mut held = BTreeMap::new();
-        held.insert(own.of.address, Held::new(own, RUMOURS));
-        Records { held, round: None, wanted: 0, changes: 0 }
+        let address = own.of.address;
+        let mut records = Records {
+            held: BTreeMap::new(),
+            round: None,
+            wanted: 0,
+            news: BTreeSet::from([address]),
+            touched: (BTreeSet::from([address]), true),
+            complete: None,
+        };
+        records.held.insert(address, Held::new(own, RUMOURS));
+        records
     }
 
     /// What a member said last, of this life of its or a later one.
@@ -148,17 +161,22 @@
     }
 
     fn insert(&mut self, record: Record, members: usize) {
-        self.changes += 1;
-        let former = self.held.get(&record.of.address);
+        let address = record.of.address;
+        let former = self.held.get(&address);
         let urgent = record.is_urgent(former.map(|held| &held.record));
         // A rumour that still runs goes on with the newer word.
         let rumours = if urgent { rumours(members) } else { former.map_or(0, |held| held.rumours) };
-        self.held.insert(record.of.address, Held::new(record, rumours));
+        if rumours > 0 {
+            self.news.insert(address);
+        }
+        self.touched.0.insert(address);
+        self.touched.1 |= urgent;
+        self.held.insert(address, Held::new(record, rumours));
     }
 
-    /// Differs after each change of any record.
-    pub fn changes(&self) -> u64 {
-        self.changes
+    /// Whose records changed since the last call, and whether one of them changed in what all should know soon.
+    pub fn take_touched(&mut self) -> (BTreeSet<SocketAddr>, bool) {
+        std::mem::take(&mut self.touched)
     }
 
     /// Takes in records of others; of an unknown member none is kept. `known` tells by which generation a member is known.
@@ -199,35 +217,42 @@
 
     /// Forgets members that are no longer known.
     pub fn retain(&mut self, known: impl Fn(SocketAddr) -> bool) {
+        let before = self.held.len();
         self.held.retain(|address, _| known(*address));
+        if self.held.len() != before {
+            self.news.retain(|address| known(*address));
+            self.complete = None;
+        }
     }
 
     /// Whether something is news that is still to be passed on.
     pub fn has_news(&self) -> bool {
-        self.held.values().any(|held| held.rumours > 0)
+        !self.news.is_empty()
     }
 
     /// One datagram's worth: news first, then, in turn, what is no news, as far as there is room.
     pub fn tell(&mut self, own: SocketAddr, with_round: bool) -> Vec<u8> {
-        let mut picked: Vec<(u32, SocketAddr)> = self
-            .held
-            .iter()
-            .filter(|(_, held)| held.rumours > 0)
-            .map(|(a, held)| (held.rumours, *a))
-            .collect();
+        let rumours = |address: &SocketAddr| self.held.get(address).map_or(0, |held| held.rumours);
+        let mut picked: Vec<(u32, SocketAddr)> = self.news.iter().map(|a| (rumours(a), *a)).collect();
         picked.sort_unstable_by(|a, b| b.cmp(a));
         let mut order: Vec<SocketAddr> = picked.into_iter().map(|(_, address)| address).collect();
         if with_round {
             order.push(own);
-            let after = |address: &SocketAddr| self.round.is_some_and(|round| *address > round);
-            let (later, sooner): (Vec<SocketAddr>, Vec<SocketAddr>) =
-                self.held.keys().copied().partition(after);
-            order.extend(later.into_iter().chain(sooner).take(WANT_MAX));
+            let (begin, end) = match self.round {
+                Some(round) => (Excluded(round), Included(round)),
+                None => (Unbounded, Unbounded),
+            };
+            let later = self.held.range((begin, Unbounded));
+            let sooner = self.held.range((Unbounded, end)).filter(|_| self.round.is_some());
+            order.extend(later.chain(sooner).map(|(address, _)| *address).take(WANT_MAX));
         }
         let (payload, told) = self.pack(order);
         for address in told {
             if let Some(held) = self.held.get_mut(&address) {
                 held.rumours = held.rumours.saturating_sub(1);
+                if held.rumours == 0 {
+                    self.news.remove(&address);
+                }
             }
             if with_round && address != own {
                 self.round = Some(address);
@@ -254,14 +279,22 @@
         Some(answers)
     }
 
-    /// Whom to ask for, if it is time: living members that have said nothing of themselves yet.
-    pub fn want<'a>(&mut self, now: Nanos, living: impl Iterator<Item = &'a Identity>) -> Option<Vec<u8>> {
-        if now.saturating_sub(self.wanted) < WANT_EVERY || planted::is(Fault::TellsRecordsOnce) {
+    /// Whom to ask for, if it is time: living members that have said nothing of themselves yet. `members` is a checksum of
+    /// the membership: while it is one of which nothing was missing, nothing is looked for.
+    pub fn want<'a>(
+        &mut self,
+        now: Nanos,
+        members: u64,
+        living: impl Iterator<Item = &'a Identity>,
+    ) -> Option<Vec<u8>> {
+        let early = now.saturating_sub(self.wanted) < WANT_EVERY;
+        if early || self.complete == Some(members) || planted::is(Fault::TellsRecordsOnce) {
             return None;
         }
         let missing: Vec<SocketAddr> =
             living.filter(|id| self.of(id).is_none()).map(|id| id.address).take(WANT_MAX).collect();
         if missing.is_empty() {
+            self.complete = Some(members);
             return None;
         }
         self.wanted = now;
@@ -319,10 +352,10 @@
         let mut records = Records::new(record(1, 1, 1));
         let take = |records: &mut Records, r: Record| {
             let payload = postcard::to_stdvec(&vec![r]).unwrap();
-            let before = records.changes();
+            records.take_touched();
             let known = |a: SocketAddr| (a.port() < 9).then_some(5);
             let unknown = records.take(own(), &payload, known, 3)?;
-            Some((records.changes() - before, unknown))
+            Some((records.take_touched().0.len(), unknown))
         };
         assert_eq!(take(&mut records, record(2, 5, 3)), Some((1, 0)));
         for old in [record(2, 5, 3), record(2, 5, 2), record(2, 4, 99)] {
@@ -376,8 +409,8 @@
         let mut mine = Records::new(record(1, 1, 1));
         let mut theirs = Records::new(record(2, 1, 1));
         let living: Vec<Identity> = (2..=80).map(|n| record(n, 1, 1).of).collect();
-        let want = mine.want(WANT_EVERY, living.iter()).unwrap();
-        assert_eq!(mine.want(WANT_EVERY + 1, living.iter()), None, "not so often");
+        let want = mine.want(WANT_EVERY, 1, living.iter()).unwrap();
+        assert_eq!(mine.want(WANT_EVERY + 1, 1, living.iter()), None, "not so often");
         let answer = theirs.answer(&want).unwrap();
         assert_eq!(mine.take(own(), &answer[0], |_| Some(1), 2), Some(0));
         assert!(mine.of(&living[0]).is_some());
