Test: idle clients fill the places while discovery is down, and the call goes out again

The test fills all places with twice as many idle clients while calls fail, and sees the next call come.

--- a/crates/pipitrun/src/event_loop/tests.rs
+++ b/crates/pipitrun/src/event_loop/tests.rs
@@ -500,6 +500,32 @@
     }
 }
 
+/// Idle clients fill the places while calls of discovery fail: the descriptors that are kept stay free, and the call goes out again.
+#[test]
+fn idle_clients_that_take_all_places_while_discovery_is_down_leave_the_call_its_descriptor() {
+    const SOCKETS: usize = 64;
+    let mut s = Stage::with(GIVEN, |config| config.sockets = SOCKETS);
+    let (_, places) = split_sockets(SOCKETS, false);
+    s.until(|the| the.counters.list_calls == 1);
+    s.turn(&[Source::Discovery(0)]);
+    let (down, _) = s.discovery.accept().unwrap();
+    let address = s.the.front.address().expect("the door is open");
+    let _idle: Vec<TcpStream> = (0..2 * places).map(|_| TcpStream::connect(address).unwrap()).collect();
+    s.turn(&[Source::Listener]);
+    s.until(|the| the.counters.clients_accepted >= places as u64);
+    drop(down);
+    let ended = s.wait(Source::Discovery(0));
+    s.the.gather(&mut vec![ended]);
+    s.the.settle();
+    assert_eq!(s.the.counters.list_failed, 1);
+    s.until(|the| the.counters.list_calls == 2);
+    let open = s.the.counters.clients_accepted - s.the.counters.clients_closed;
+    assert!(open <= places as u64, "{open} of {places}");
+    assert!(places + 8 < SOCKETS, "{places}: the rest is for caches, discovery and the door");
+    s.turn(&[Source::Discovery(1)]);
+    s.discovery.accept().expect("it is called again");
+}
+
 #[test]
 fn a_reload_that_moves_discovery_tells_the_module_that_former_failures_are_moot() {
     let mut s = Stage::set(GIVEN);
