--- a/crates/trials/src/capacity/rows.rs
+++ b/crates/trials/src/capacity/rows.rs
@@ -173,10 +173,10 @@
             row(
                 "memory, MB",
                 None,
-                memory(self.at("hollow_memory", plan)?),
-                memory(self.at("hollow_memory", plan)?),
+                memory(self.at("regions_memory", plan)?),
+                memory(self.at("regions_memory", plan)?),
                 budget.control_memory_mb,
-                self.source("hollow_memory", plan)?,
+                self.source("regions_memory", plan)?,
             ),
             row(
                 "bytes sent, a second; worst: who sends most, ten seconds from a zone's loss",
--- a/crates/trials/src/slopes.rs
+++ b/crates/trials/src/slopes.rs
@@ -55,11 +55,18 @@
         Slope { name: name.into(), unit: unit.into(), by: by.into(), how: how.into(), points, fit }
     }
 
-    /// The value at a size: the greatest measured there, or that of the line where it was not measured; never under 0.
+    /// The value at a size: the greatest measured there, or that of the line where it was not measured. Beyond the sizes
+    /// that were measured it is not under the greatest value of any: a line that falls is no promise.
     pub fn at(&self, size: f64) -> f64 {
-        let there = self.points.iter().filter(|point| point.size == size).map(|point| point.value);
-        let measured = there.fold(f64::NEG_INFINITY, f64::max);
-        if measured.is_finite() { measured } else { (self.fit.at_zero + self.fit.each * size).max(0.0) }
+        let greatest = |of: &dyn Fn(&&Point) -> bool| {
+            self.points.iter().filter(of).map(|point| point.value).fold(f64::NEG_INFINITY, f64::max)
+        };
+        let there = greatest(&|point| point.size == size);
+        if there.is_finite() {
+            return there;
+        }
+        let line = (self.fit.at_zero + self.fit.each * size).max(0.0);
+        if size > self.range().1 { line.max(greatest(&|_| true)) } else { line }
     }
 
     /// The least and the greatest size that was measured.
@@ -162,7 +169,12 @@
 
 /// Adds rows of virtual plays of fleets in regions, made apart since they last long, to slopes that were measured before.
 pub fn extend(mut slopes: Slopes, rows: &[Measured]) -> Slopes {
-    for more in row_slopes(rows) {
+    // Each was played by a process of its own, in which nothing was freed before.
+    let alone: Vec<Measured> = rows.iter().filter(|row| row.loss == 0.0).cloned().collect();
+    let memory = points(&alone, |row| row.members as f64, |row| row.memory_kb.unwrap_or(0.0));
+    let how = "virtual time, the network's queue included (`regions`)";
+    let memory = Slope::new("regions_memory", "KB", "members in 26 regions", how, memory);
+    for more in row_slopes(rows).into_iter().chain([memory]) {
         match slopes.slopes.iter_mut().find(|slope| slope.name == more.name) {
             Some(slope) => {
                 slope.points.extend(more.points);
