Regions: messages are packed in one place, the dead are listed once, dead code goes

Read once more. Four loops packed items into a datagram's room, each by itself: `regions::add` serves all. Who is believed dead was listed twice. `own_told` and a constant were used by nobody; a row was made up to call `hear`.

--- a/crates/fleet/src/member/swim.rs
+++ b/crates/fleet/src/member/swim.rs
@@ -146,6 +146,10 @@
         self.ask_dead(RETURN_TO);
     }
 
+    fn dead(&self) -> Vec<Identity> {
+        self.table.members().filter(|seen| seen.state == State::Dead).map(|seen| seen.id).collect()
+    }
+
     /// Asks those believed dead whom this member is drawn to ask. If all members asked each of the dead, who returns would
     /// have to answer as many as there are members, each with a datagram of the longest.
     pub(super) fn ask_drawn_dead(&mut self) {
@@ -153,8 +157,7 @@
             return;
         }
         self.ask_dead_due = self.now + ASK_DEAD;
-        let dead = self.table.members().filter(|seen| seen.state == State::Dead);
-        let dead: Vec<Identity> = dead.map(|seen| seen.id).collect();
+        let dead = self.dead();
         if dead.is_empty() {
             return;
         }
@@ -176,8 +179,7 @@
         if planted::is(Fault::NeverAsksTheDead) {
             return;
         }
-        let mut dead: Vec<Identity> =
-            self.table.members().filter(|seen| seen.state == State::Dead).map(|seen| seen.id).collect();
+        let mut dead = self.dead();
         let mut runtime = Runtime::default();
         for _ in 0..most.min(dead.len()) {
             let id = dead.swap_remove(self.rng.random_range(0..dead.len()));
--- a/crates/fleet/src/regions.rs
+++ b/crates/fleet/src/regions.rs
@@ -112,3 +112,14 @@
         summary
     }
 }
+
+/// Appends an item to a message if it fits into the room that is left; whether it did.
+fn add<T: Serialize>(list: &mut Vec<T>, item: T, room: &mut usize) -> bool {
+    let length = postcard::to_stdvec(&item).map_or(usize::MAX, |bytes| bytes.len());
+    let fits = length <= *room;
+    if fits {
+        *room -= length;
+        list.push(item);
+    }
+    fits
+}
--- a/crates/fleet/src/regions/exchange.rs
+++ b/crates/fleet/src/regions/exchange.rs
@@ -4,8 +4,8 @@
 //! figures don't change is told from one that can't be heard. Two delegates compare what they hold: the question lists
 //! each entry's version and beats, the answer brings what the asker lacks and asks for what the other lacks.
 
-use super::{Announcement, Payload, Summary};
-use super::{AnnouncementKey, DELEGATES, REGIONS_MAX, SILENT_AFTER};
+use super::{Announcement, Payload, Summary, add};
+use super::{AnnouncementKey, REGIONS_MAX, SILENT_AFTER};
 use crate::envelope::PAYLOAD_MAX;
 use crate::planted::{self, Fault};
 use crate::{MS, Nanos};
@@ -220,11 +220,6 @@
         self.held.remove(&self.own_key());
     }
 
-    /// What this member announced, as it is told to others.
-    pub fn own_told(&self, now: Nanos) -> Option<Told> {
-        self.held.get(&self.own_key()).map(|held| held.told(now))
-    }
-
     /// Shows that this author lives, and forgets those that do not.
     pub fn turn(&mut self, now: Nanos) {
         let key = self.own_key();
@@ -322,7 +317,7 @@
             if row.version > version && question.delegate {
                 add(&mut answer.wanted, row.key, &mut room);
             } else if row.version == version && row.beats >= held.beats {
-                hear(held, now, row);
+                hear(held, now, row.beats, row.age_s);
             } else if row.version == version {
                 add(&mut answer.rows, held.row(now), &mut room);
             } else if row.version < version {
@@ -345,7 +340,7 @@
             if let Some(held) = places.get(&row.key).and_then(|place| self.held.get_mut(place))
                 && row.version == held.announcement.version
             {
-                hear(held, now, row);
+                hear(held, now, row.beats, row.age_s);
             }
         }
         let new = self.take(now, unix_ms, &answer.told);
@@ -388,8 +383,7 @@
                 return false;
             }
             if announcement.version == held.announcement.version {
-                let row = Row { key: 0, version: 0, beats: told.beats, age_s: told.age_s };
-                hear(held, now, &row);
+                hear(held, now, told.beats, told.age_s);
                 return false;
             }
         } else if self.is_forgotten(&place, told) || !self.has_room(&place, told, now) {
@@ -474,25 +468,13 @@
 }
 
 /// Takes a sign of life over, if it is a later one.
-fn hear(held: &mut Held, now: Nanos, row: &Row) {
-    let heard = now.saturating_sub(Nanos::from(row.age_s) * SECOND);
-    if row.beats > held.beats {
-        held.beats = row.beats;
+fn hear(held: &mut Held, now: Nanos, beats: u32, age_s: u32) {
+    let heard = now.saturating_sub(Nanos::from(age_s) * SECOND);
+    if beats > held.beats {
+        held.beats = beats;
         held.heard = held.heard.max(heard);
     }
 }
 
 /// What the names and the lengths of the lists of a message take at most.
 const LENGTHS_MAX: usize = 40;
-
-/// Appends an item that fits into the room that is left.
-fn add<T: Serialize>(list: &mut Vec<T>, item: T, room: &mut usize) {
-    let length = postcard::to_stdvec(&item).map_or(usize::MAX, |bytes| bytes.len());
-    if length <= *room {
-        *room -= length;
-        list.push(item);
-    }
-}
-
-/// Other members that a delegate may ask, by region; at most [`DELEGATES`] of each and the authors.
-pub const TARGETS_MAX: usize = REGIONS_MAX * AUTHORS_MAX * (DELEGATES + 1);
--- a/crates/fleet/src/regions/overview.rs
+++ b/crates/fleet/src/regions/overview.rs
@@ -4,7 +4,7 @@
 //! region moves a few rows and not all.
 
 use super::exchange::Known;
-use super::{CLOCK_SKEW_MAX_MS, REGIONS_MAX};
+use super::{CLOCK_SKEW_MAX_MS, REGIONS_MAX, add};
 use crate::envelope::PAYLOAD_MAX;
 use crate::location::LOCATION_NAME_MAX;
 use crate::planted::{self, Fault};
@@ -164,11 +164,7 @@
         let mut room = [PAYLOAD_MAX - HEAD_MAX; PARTS];
         for row in rows.into_iter().take(REGIONS_MAX) {
             let number = part_of(&row.region);
-            let length = postcard::to_stdvec(&row).map_or(usize::MAX, |bytes| bytes.len());
-            if length <= room[number] {
-                room[number] -= length;
-                parts[number].push(row);
-            }
+            add(&mut parts[number], row, &mut room[number]);
         }
         for (held, rows) in self.held.iter_mut().zip(parts) {
             let same = held.part.rows.len() == rows.len()
@@ -217,11 +213,8 @@
         order.sort_by_key(|n| std::cmp::Reverse(self.held[*n].rumours));
         for number in order {
             let part = self.held[number].told(now);
-            let length = postcard::to_stdvec(&part).map_or(usize::MAX, |bytes| bytes.len());
-            if length <= room {
-                room -= length;
+            if add(&mut news, part, &mut room) {
                 self.held[number].rumours -= 1;
-                news.push(part);
             }
         }
         news
@@ -246,12 +239,7 @@
             if same || held.part.author.is_none() {
                 continue;
             }
-            let part = held.told(now);
-            let length = postcard::to_stdvec(&part).map_or(usize::MAX, |bytes| bytes.len());
-            if length <= room {
-                room -= length;
-                parts.push(part);
-            }
+            add(&mut parts, held.told(now), &mut room);
         }
         Some(parts)
     }
