--- a/crates/finchyard/src/brain/slots.rs
+++ b/crates/finchyard/src/brain/slots.rs
@@ -29,6 +29,8 @@
 
 /// Where a cache stands at a slot, in (0, 1]: a hash of both.
 fn position(slot: usize, cache: ServerId) -> f64 {
+    #[cfg(test)]
+    tests::count_hash();
     let hash = xxh3_64_with_seed(&cache.0.to_le_bytes(), slot as u64);
     ((hash >> 11) as f64 + 1.0) / (1u64 << 53) as f64
 }
--- a/crates/finchyard/src/brain/slots/tests.rs
+++ b/crates/finchyard/src/brain/slots/tests.rs
@@ -6,6 +6,23 @@
 use crate::brain::Brain;
 use rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
+use std::cell::Cell;
+
+thread_local! {
+    /// Hashes of a slot and a cache that were worked out in this thread: the measure of the table's work.
+    static HASHES: Cell<usize> = const { Cell::new(0) };
+}
+
+pub(super) fn count_hash() {
+    HASHES.set(HASHES.get() + 1);
+}
+
+/// How many hashes this takes.
+fn hashes(of: impl FnOnce()) -> usize {
+    let before = HASHES.get();
+    of();
+    HASHES.get() - before
+}
 
 /// All caches at a slot, best first, by a sort of all scores.
 fn sorted(caches: &BTreeMap<u64, Entry>, slot: usize) -> Vec<ServerId> {
@@ -157,3 +174,24 @@
     table.set_caches(&[(ServerId(8), 1.0)]);
     assert_eq!(*table.candidates(3), [ServerId(8)]);
 }
+
+/// Caches of the same weight with these ids.
+fn listed(ids: std::ops::Range<u64>) -> Vec<(ServerId, f64)> {
+    ids.map(|id| (ServerId(id), 1.0)).collect()
+}
+
+#[test]
+fn a_batch_of_caches_costs_nothing_by_the_number_of_slots_when_it_is_told() {
+    let (before, batch) = (3_200, 1_000);
+    let mut table = SlotTable::new();
+    table.set_caches(&listed(0..before));
+    let in_use = 4_096;
+    (0..in_use).for_each(|slot| _ = table.candidates(slot));
+    assert_eq!(hashes(|| table.set_caches(&listed(0..before + batch))), 0, "when the batch is told");
+    let caches = (before + batch) as usize;
+    for slot in 0..in_use {
+        let when_asked = hashes(|| _ = table.candidates(slot));
+        assert!(when_asked <= caches + batch as usize, "{when_asked} for slot {slot}");
+        assert_eq!(hashes(|| _ = table.candidates(slot)), 0, "asked again for slot {slot}");
+    }
+}
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod referee;
 pub mod relay;
 pub mod scenarios;
+pub mod silence;
 pub mod slopes;
 pub mod stand_ins;
 pub mod switch;
--- a/crates/trials/src/main.rs
+++ b/crates/trials/src/main.rs
@@ -5,7 +5,8 @@
 use pipitrun_trials::ground::Plan;
 use pipitrun_trials::play::{Report, play};
 use pipitrun_trials::{
-    chart, decisions, hollow, mutations, scenarios, slopes, virtual_overload, virtual_regions, virtual_trials,
+    chart, decisions, hollow, mutations, scenarios, silence, slopes, virtual_overload, virtual_regions,
+    virtual_trials,
 };
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -205,6 +206,15 @@
         #[arg(long, default_value_t = 5)]
         rounds: u64,
     },
+    /// The longest time without an answer while one real process is told of a batch of caches; a row for each size.
+    Silence {
+        /// Numbers of caches, each with its batch, as in `3200:1000`.
+        #[arg(long, value_delimiter = ',', default_values = ["200:60", "400:150", "1300:400", "3200:1000"])]
+        sizes: Vec<silence::Size>,
+        /// The program, if not the one beside this.
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
     /// The greatest sum of shares through splits in virtual time, by the rule and without it.
     Shares {
         /// Members.
@@ -323,6 +333,12 @@
             };
             measure_regions(plan, &members, &loss, seeds)
         }
+        Command::Silence { sizes, program } => {
+            pipitrun_trials::ground::program(program.as_ref()).and_then(|program| {
+                silence::print_table(&program, &sizes)?;
+                Ok(ExitCode::SUCCESS)
+            })
+        }
         Command::Slopes { out, caches, one_region, in_regions, hollow, regions, add } => {
             let sizes = slopes::Sizes { caches, one_region, in_regions, hollow, regions };
             measure_slopes(&out, &sizes, &add, &interrupted)
--- a/crates/trials/src/member.rs
+++ b/crates/trials/src/member.rs
@@ -291,7 +291,7 @@
 }
 
 /// The settings of all members; the classes are those of `stand_ins::clients`.
-fn settings(group_size: usize) -> serde_json::Value {
+pub(crate) fn settings(group_size: usize) -> serde_json::Value {
     serde_json::json!({
         "areas": ["dc-vake"], "machine_types": ["small-1c"],
         "accounts": [{"name": "kvemo-tetri", "allowance_per_s": 1000.0}],
--- /dev/null
+++ b/crates/trials/src/silence.rs
@@ -0,0 +1,282 @@
+//! How long one balancer is silent while discovery tells it of many caches at once: a real process, a client that sends
+//! `PING` without a pause, and a watch that names a batch of new, draining or removed caches in one message.
+
+use crate::stand_ins::cache::{Cache, CacheOptions};
+use crate::stand_ins::resp::{self, write_command};
+use serde_json::{Value, json};
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::str::FromStr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Reads before the batch comes, so that the balancer has candidates for many slots.
+const READS: usize = 4_000;
+/// How long the client goes on after each message.
+const AFTER: Duration = Duration::from_millis(1_500);
+/// A step that takes longer has failed.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Listeners that all caches share.
+const LISTENERS: usize = 8;
+
+/// What a message of the watch says of the batch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The caches are new.
+    Joins,
+    /// They drain.
+    Drains,
+    /// They are gone.
+    Goes,
+}
+
+impl Change {
+    /// All changes, in the order in which a batch goes through them.
+    pub const ALL: [Change; 3] = [Change::Joins, Change::Drains, Change::Goes];
+
+    fn health(self) -> &'static str {
+        match self {
+            Change::Joins => "in_service",
+            Change::Drains => "terminating",
+            Change::Goes => "terminated",
+        }
+    }
+}
+
+/// What was measured of one balancer.
+#[derive(Clone, Copy, Debug)]
+pub struct Silence {
+    /// The longest time without an answer before any change.
+    pub calm: Duration,
+    /// The same around each of [`Change::ALL`].
+    pub around: [Duration; 3],
+    /// Peak memory of the process in kB.
+    pub peak_kb: u64,
+}
+
+/// A process that ends with this.
+struct Balancer(Child);
+
+impl Drop for Balancer {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn host(number: usize, health: &str, dials: &[SocketAddr]) -> Value {
+    json!({"host": format!("s-{number:05}"), "dial": dials[number % dials.len()].to_string(), "site": "dc-vake",
+        "class": "small-1c", "block": 1, "health": health, "share": 1.0, "born_ms": 0})
+}
+
+fn message(seq: u64, whole: bool, hosts: Vec<Value>) -> String {
+    json!({"seq": seq, "whole": whole, "hosts": hosts}).to_string()
+}
+
+/// Discovery for one watch: tells this message first, then whatever comes.
+fn discovery(first: String) -> io::Result<(SocketAddr, Sender<String>)> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    let (sender, messages): (Sender<String>, Receiver<String>) = channel();
+    std::thread::spawn(move || -> io::Result<()> {
+        let (mut watch, _) = listener.accept()?;
+        for line in BufReader::new(watch.try_clone()?).lines() {
+            if line?.is_empty() {
+                break;
+            }
+        }
+        watch.write_all(b"HTTP/1.1 200 OK\r\n\r\n")?;
+        writeln!(watch, "{first}")?;
+        loop {
+            match messages.recv_timeout(Duration::from_secs(2)) {
+                Ok(message) => writeln!(watch, "{message}")?,
+                Err(std::sync::mpsc::RecvTimeoutError::Timeout) => watch.write_all(b"\n")?,
+                Err(std::sync::mpsc::RecvTimeoutError::Disconnected) => return Ok(()),
+            }
+        }
+    });
+    Ok((address, sender))
+}
+
+/// Starts the program; its client address comes from its log.
+fn start(program: &Path, discovery: SocketAddr) -> Result<(Balancer, SocketAddr), String> {
+    let settings = crate::member::settings(1);
+    let config = json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "2a",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings});
+    let path = std::env::temp_dir().join(format!("pipitrun-silence-{}.json", std::process::id()));
+    std::fs::write(&path, config.to_string()).map_err(|e| format!("{}: {e}", path.display()))?;
+    let mut child = Command::new(program)
+        .env_clear()
+        .env("GW_CONFIG", &path)
+        .env("RUST_LOG", "info")
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()
+        .map_err(|e| format!("{}: {e}", program.display()))?;
+    let log = child.stderr.take();
+    let child = Balancer(child);
+    let mut lines = BufReader::new(log.ok_or("no log")?).lines().map_while(Result::ok);
+    let address = lines.find_map(|l| l.split_once("listening on ")?.1.split_once(',')?.0.parse().ok());
+    // Read on, or the program would wait for its log to be read.
+    std::thread::spawn(move || lines.for_each(drop));
+    Ok((child, address.ok_or("the program does not say where it listens")?))
+}
+
+/// A client that sends `PING` without a pause and keeps the longest time that an answer took.
+struct Pings {
+    longest: Arc<Mutex<Duration>>,
+    end: Arc<AtomicBool>,
+}
+
+impl Pings {
+    fn start(address: SocketAddr) -> io::Result<Self> {
+        let mut stream = TcpStream::connect(address)?;
+        stream.set_nodelay(true)?;
+        let (longest, end) = (Arc::new(Mutex::new(Duration::ZERO)), Arc::new(AtomicBool::new(false)));
+        let (kept, ending) = (Arc::clone(&longest), Arc::clone(&end));
+        std::thread::spawn(move || -> io::Result<()> {
+            let mut answer = [0; 7];
+            while !ending.load(Ordering::Relaxed) {
+                let sent = Instant::now();
+                stream.write_all(b"*1\r\n$4\r\nPING\r\n")?;
+                stream.read_exact(&mut answer)?;
+                let took = sent.elapsed();
+                let mut longest = kept.lock().unwrap_or_else(PoisonError::into_inner);
+                *longest = longest.max(took);
+            }
+            Ok(())
+        });
+        Ok(Pings { longest, end })
+    }
+
+    /// The longest time so far, counted anew from now on.
+    fn take(&self) -> Duration {
+        std::mem::take(&mut self.longest.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+impl Drop for Pings {
+    fn drop(&mut self) {
+        self.end.store(true, Ordering::Relaxed);
+    }
+}
+
+fn wait_ready(address: SocketAddr) -> Result<(), String> {
+    let asked = Instant::now();
+    while asked.elapsed() < PATIENCE {
+        let ready = TcpStream::connect(address).and_then(|mut stream| {
+            stream.write_all(b"*1\r\n$4\r\nPING\r\n")?;
+            let mut answer = [0; 7];
+            stream.read_exact(&mut answer)?;
+            Ok(&answer == b"+PONG\r\n")
+        });
+        if matches!(ready, Ok(true)) {
+            return Ok(());
+        }
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    Err("the balancer does not become ready".into())
+}
+
+fn read_keys(address: SocketAddr) -> io::Result<()> {
+    let mut stream = TcpStream::connect(address)?;
+    let mut input = BufReader::new(stream.try_clone()?);
+    for number in 0..READS {
+        let (key, id) = (format!("{number:016x}"), format!("{number:x}"));
+        let words: [&[u8]; 4] = [b"C.GET", key.as_bytes(), id.as_bytes(), b"c=tile-read,d=600"];
+        stream.write_all(&write_command(&words))?;
+        resp::answer(&mut input)?;
+    }
+    Ok(())
+}
+
+fn peak_kb(child: &Child) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+    let peak =
+        status.lines().find_map(|line| line.strip_prefix("VmHWM:")?.trim().strip_suffix(" kB")?.parse().ok());
+    peak.unwrap_or(0)
+}
+
+/// Measures a balancer of `program` with so many caches, and a batch of so many more.
+///
+/// # Errors
+///
+/// Says which step failed: a socket, the program's start, or its readiness.
+pub fn measure(program: &Path, caches: usize, batch: usize) -> Result<Silence, String> {
+    let quick =
+        CacheOptions { slots: 64, service: Duration::ZERO, fetch: Duration::ZERO, ..CacheOptions::default() };
+    let mut dials = Vec::new();
+    let mut running = Vec::new();
+    for number in 0..LISTENERS {
+        let free =
+            TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).map_err(|e| e.to_string())?;
+        let cache = Cache::start(&format!("c{number}"), free, quick, None).map_err(|e| e.to_string())?;
+        running.push(cache);
+        dials.push(free);
+    }
+    let hosts =
+        |range: std::ops::Range<usize>, health| range.map(|n| host(n, health, &dials)).collect::<Vec<_>>();
+    let first = message(1, true, hosts(0..caches, "in_service"));
+    let (discovery, tell) = discovery(first).map_err(|e| format!("discovery: {e}"))?;
+    let (balancer, address) = start(program, discovery)?;
+    wait_ready(address)?;
+    read_keys(address).map_err(|e| format!("reads: {e}"))?;
+    let pings = Pings::start(address).map_err(|e| format!("pings: {e}"))?;
+    std::thread::sleep(AFTER);
+    let calm = pings.take();
+    let mut around = [Duration::ZERO; 3];
+    for (place, change) in Change::ALL.into_iter().enumerate() {
+        let batch = hosts(caches..caches + batch, change.health());
+        tell.send(message(2 + place as u64, false, batch)).map_err(|e| e.to_string())?;
+        std::thread::sleep(AFTER);
+        around[place] = pings.take();
+    }
+    Ok(Silence { calm, around, peak_kb: peak_kb(&balancer.0) })
+}
+
+/// A number of caches and the batch that comes to them, written `3200:1000`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Size {
+    /// Caches before the batch.
+    pub caches: usize,
+    /// Caches in the batch.
+    pub batch: usize,
+}
+
+impl FromStr for Size {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let read = || {
+            let (caches, batch) = text.split_once(':')?;
+            Some(Size { caches: caches.parse().ok()?, batch: batch.parse().ok()? })
+        };
+        read().ok_or_else(|| format!("\"{text}\": caches and batch are expected, as in 3200:1000"))
+    }
+}
+
+/// Measures each size and prints a row for it.
+///
+/// # Errors
+///
+/// As [`measure`].
+pub fn print_table(program: &Path, sizes: &[Size]) -> Result<(), String> {
+    println!("caches batch   calm_ms  joins_ms drains_ms   goes_ms   peak_kb");
+    for size in sizes {
+        let Silence { calm, around, peak_kb } = measure(program, size.caches, size.batch)?;
+        let ms = |time: Duration| time.as_secs_f64() * 1e3;
+        let [joins, drains, goes] = around.map(ms);
+        println!(
+            "{:6} {:5} {:9.2} {joins:9.2} {drains:9.2} {goes:9.2} {peak_kb:9}",
+            size.caches,
+            size.batch,
+            ms(calm)
+        );
+    }
+    Ok(())
+}
