A batch of new caches no longer costs a hash for each slot and cache in one turn

Cause: SlotTable::forget_rows_before went through all 65,536 rows for each cache that came, in the turn that told of it.

Change: rows carry the version of the list that they are true of; a change is an entry in a bounded log; a row is brought up to date when it is asked for. A row further behind than there are caches is worked out anew. Memory stays flat: 14 bytes a row (10 before), 128 KB of log.

The test of forgotten rows counted a table's filled rows, which it no longer keeps; it counts rows worked out anew by their hashes instead, as strictly, and also that none is worked out twice. New: rows up to 4,097 changes behind against the sort, and versions that begin anew.

--- a/crates/finchyard/src/brain/slots.rs
+++ b/crates/finchyard/src/brain/slots.rs
@@ -1,16 +1,18 @@
-//! Rendezvous hashing: the candidates of each slot, kept in a flat table that one cache's change mends in place.
+//! Rendezvous hashing: the candidates of each slot, kept in a flat table whose rows are brought up to date when they are
+//! next asked for.
 //!
 //! Each cache has a score at each slot ([`score`]); the caches with the least scores are the slot's candidates, in
-//! that order. Working them out costs a hash for each cache. A slot's candidates are therefore worked out when they
-//! are first asked for, and forgotten only when a change of the list touches them: a cache that goes touches the
-//! slots that it is a candidate of, a cache that comes those where it scores less than the last candidate.
+//! that order. Working them out costs a hash for each cache. A row therefore keeps them, and the [`Version`] of the list
+//! that they are true of. A change of the list costs nothing by slots: it is an entry in a bounded log. When a row is
+//! asked for, the changes since its version are gone through, a hash for each cache that came; only if one of them
+//! touches the row, or the row is too far behind, its candidates are worked out anew.
 //!
-//! The table holds [`SLOTS`] rows of ten bytes, all of them from the start, so that its memory does not grow.
+//! The table holds [`SLOTS`] rows of fourteen bytes, all of them from the start, so that its memory does not grow.
 
 use crate::api::ServerId;
 use crate::state::CANDIDATES;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::ops::Deref;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -21,8 +23,14 @@
 /// that it is a candidate of is worked out each time.
 const NO_CACHE: u16 = u16::MAX;
 
-/// The limit of a row that holds no candidates.
-const NOT_KNOWN: f32 = f32::NEG_INFINITY;
+/// The most changes that are kept. A row that is further behind is worked out anew.
+const CHANGES_KEPT: usize = 4_096;
+
+/// Counts the changes of the list.
+type Version = u32;
+
+/// The version of a row that holds no candidates.
+const NEVER: Version = 0;
 
 /// Takes more than the rounding errors of [`Place::least_score`] off it.
 const ROUNDED_DOWN: f64 = 1.0 - 1e-9;
@@ -125,18 +133,52 @@
     }
 }
 
+/// A change of the list.
+#[derive(Clone, Copy, Debug)]
+enum Change {
+    /// The cache of this number has gone; the number may be another's since.
+    Gone(usize),
+    /// A cache has come.
+    Come(Place),
+}
+
+/// The candidates of one slot as they were at a version of the list.
+#[derive(Clone, Copy, Debug)]
+struct Row {
+    /// The candidates' numbers; [`NO_CACHE`] where there are fewer.
+    numbers: [u16; CANDIDATES],
+    /// Not under the score of the last candidate; a cache that scores more is none.
+    limit: f32,
+    version: Version,
+}
+
+impl Row {
+    const EMPTY: Row = Row { numbers: [NO_CACHE; CANDIDATES], limit: f32::NEG_INFINITY, version: NEVER };
+
+    fn holds(&self, number: usize) -> bool {
+        number < usize::from(NO_CACHE) && self.numbers.iter().any(|own| usize::from(*own) == number)
+    }
+
+    /// Whether a change alters the candidates of this row, or may.
+    fn is_touched(&self, slot: usize, change: &Change) -> bool {
+        match change {
+            Change::Gone(number) => self.holds(*number),
+            Change::Come(place) => place.least_score(position(slot, place.cache)) <= f64::from(self.limit),
+        }
+    }
+}
+
 /// The candidates of all slots.
 pub(crate) struct SlotTable {
     /// By number; the numbers of caches that have gone are used again.
     places: Vec<Option<Place>>,
     numbers: BTreeMap<ServerId, usize>,
     free: Vec<usize>,
-    /// The numbers of each slot's candidates; [`NO_CACHE`] where there are fewer.
-    rows: Vec<[u16; CANDIDATES]>,
-    /// Not under the score of each slot's last candidate; a cache that scores more is none.
-    limits: Vec<f32>,
-    /// Rows that hold candidates.
-    filled: usize,
+    rows: Vec<Row>,
+    /// Of the list as it is now.
+    version: Version,
+    /// The latest changes; the last one led to `version`.
+    changes: VecDeque<Change>,
 }
 
 impl SlotTable {
@@ -146,9 +188,9 @@
             places: Vec::new(),
             numbers: BTreeMap::new(),
             free: Vec::new(),
-            rows: vec![[NO_CACHE; CANDIDATES]; SLOTS],
-            limits: vec![NOT_KNOWN; SLOTS],
-            filled: 0,
+            rows: vec![Row::EMPTY; SLOTS],
+            version: NEVER + 1,
+            changes: VecDeque::new(),
         }
     }
 
@@ -170,13 +212,16 @@
             }
         }
         gone.extend(former.map(|(cache, number)| (*cache, *number)));
-        self.forget_touched(&gone, &come);
         for (cache, number) in gone {
             self.numbers.remove(&cache);
             self.places[number] = None;
             self.free.push(number);
+            self.log(Change::Gone(number));
+        }
+        for place in come {
+            self.insert(place);
+            self.log(Change::Come(place));
         }
-        come.into_iter().for_each(|place| self.insert(place));
     }
 
     fn insert(&mut self, place: Place) {
@@ -188,54 +233,44 @@
         self.numbers.insert(place.cache, number);
     }
 
-    /// Forgets the rows that these changes touch.
-    fn forget_touched(&mut self, gone: &[(ServerId, usize)], come: &[Place]) {
-        if self.filled == 0 {
+    fn log(&mut self, change: Change) {
+        if self.version == Version::MAX {
+            // Versions begin anew, so that none stands for two lists.
+            self.rows.fill(Row::EMPTY);
+            self.changes.clear();
+            self.version = NEVER + 1;
             return;
         }
-        if !gone.is_empty() {
-            self.forget_rows_of(gone);
+        self.version += 1;
+        if self.changes.len() == CHANGES_KEPT {
+            self.changes.pop_front();
         }
-        come.iter().for_each(|place| self.forget_rows_before(place));
+        self.changes.push_back(change);
     }
 
-    /// Forgets the rows that one of these is a candidate of.
-    fn forget_rows_of(&mut self, gone: &[(ServerId, usize)]) {
-        let mut is_gone = vec![false; self.places.len()];
-        gone.iter().for_each(|(_, number)| is_gone[*number] = true);
-        // No row holds a cache of this number: it stands for a place that is empty.
-        if let Some(none) = is_gone.get_mut(usize::from(NO_CACHE)) {
-            *none = false;
-        }
-        let has_gone = |number: &u16| is_gone.get(usize::from(*number)) == Some(&true);
-        for (row, limit) in self.rows.iter().zip(&mut self.limits) {
-            if *limit != NOT_KNOWN && row.iter().any(has_gone) {
-                *limit = NOT_KNOWN;
-                self.filled -= 1;
-            }
-        }
-    }
-
-    /// Forgets the rows that this one would be a candidate of; a row that holds nothing has a limit that none keeps.
-    fn forget_rows_before(&mut self, place: &Place) {
-        for (slot, limit) in self.limits.iter_mut().enumerate() {
-            if place.least_score(position(slot, place.cache)) <= f64::from(*limit) {
-                *limit = NOT_KNOWN;
-                self.filled -= 1;
-            }
+    /// Whether the candidates that a row holds are those of the list as it is now.
+    fn is_true(&self, slot: usize) -> bool {
+        let row = &self.rows[slot];
+        let behind = (self.version - row.version) as usize;
+        // Behind by more than there are caches, working the row out anew costs less than going through the changes.
+        if row.version == NEVER || behind > self.changes.len().min(self.places.len()) {
+            return false;
         }
+        let since = self.changes.range(self.changes.len() - behind..);
+        !since.into_iter().any(|change| row.is_touched(slot, change))
     }
 
     /// The candidates of a slot.
     pub(crate) fn candidates(&mut self, slot: usize) -> Candidates {
         let mut candidates = Candidates::default();
-        if self.limits[slot] == NOT_KNOWN {
+        if !self.is_true(slot) {
             let best = self.best(slot);
             best.iter().for_each(|scored| candidates.push(scored.cache));
             self.keep(slot, &best);
             return candidates;
         }
-        let row = self.rows[slot].iter().take_while(|number| **number != NO_CACHE);
+        self.rows[slot].version = self.version;
+        let row = self.rows[slot].numbers.iter().take_while(|number| **number != NO_CACHE);
         for place in row.filter_map(|number| self.places[usize::from(*number)]) {
             candidates.push(place.cache);
         }
@@ -243,20 +278,20 @@
     }
 
     fn keep(&mut self, slot: usize, best: &[Scored]) {
-        let mut row = [NO_CACHE; CANDIDATES];
-        for (scored, number) in best.iter().zip(&mut row) {
+        self.rows[slot].version = NEVER;
+        let mut numbers = [NO_CACHE; CANDIDATES];
+        for (scored, number) in best.iter().zip(&mut numbers) {
             match u16::try_from(scored.number) {
                 Ok(fits) if fits != NO_CACHE => *number = fits,
                 _ => return,
             }
         }
-        self.rows[slot] = row;
         // With fewer than three, whoever comes is a candidate.
-        self.limits[slot] = match best.get(CANDIDATES - 1) {
+        let limit = match best.get(CANDIDATES - 1) {
             Some(last) => (last.score as f32).next_up(),
             None => f32::INFINITY,
         };
-        self.filled += 1;
+        self.rows[slot] = Row { numbers, limit, version: self.version };
     }
 
     /// The candidates of a slot, worked out: one hash for each cache, and a logarithm for a few.
--- a/crates/finchyard/src/brain/slots/tests.rs
+++ b/crates/finchyard/src/brain/slots/tests.rs
@@ -126,26 +126,52 @@
 }
 
 #[test]
-fn a_change_of_one_cache_forgets_the_rows_that_it_touches_and_few_others() {
+fn a_change_of_one_cache_has_the_rows_that_it_touches_worked_out_anew_and_few_others() {
     let mut course = Course::new(4, 0);
     let count = 400;
     let all = (0..count).map(|id| Entry { server: ServerId(id), weight: 1.0, ..Entry::default() });
     all.for_each(|entry| course.tell(entry));
-    let forgotten = |course: &mut Course, entry: Entry| {
+    let worked_out = |course: &mut Course, entry: Entry| {
         (0..SLOTS).for_each(|slot| _ = course.brain.slots.candidates(slot));
-        assert_eq!(course.brain.slots.filled, SLOTS);
         course.tell(entry);
-        SLOTS - course.brain.slots.filled
+        let slots = 0..SLOTS;
+        let anew = slots.filter(|slot| hashes(|| _ = course.brain.slots.candidates(*slot)) > 1).count();
+        assert_eq!(hashes(|| (0..SLOTS).for_each(|slot| _ = course.brain.slots.candidates(slot))), 0);
+        anew
     };
     let due = CANDIDATES * SLOTS / count as usize;
     let near = due * 3 / 4..due * 5 / 4;
     let entry = course.caches[&77];
-    let drained = forgotten(&mut course, Entry { phase: Phase::Draining, ..entry });
+    let drained = worked_out(&mut course, Entry { phase: Phase::Draining, ..entry });
     assert!(near.contains(&drained), "{drained} of {due}");
-    let back = forgotten(&mut course, entry);
+    let back = worked_out(&mut course, entry);
     assert!(near.contains(&back), "{back} of {due}");
-    assert_eq!(forgotten(&mut course, Entry { started: 5, ..entry }), 0, "a restart moves nothing");
-    assert_eq!(forgotten(&mut course, entry), 0);
+    assert_eq!(worked_out(&mut course, Entry { started: 5, ..entry }), 0, "a restart moves nothing");
+    assert_eq!(worked_out(&mut course, entry), 0);
+}
+
+#[test]
+fn rows_are_right_however_far_behind_they_are_and_when_versions_begin_anew() {
+    let mut course = Course::new(5, 30);
+    let slots: Vec<usize> = (0..SLOTS).step_by(499).collect();
+    for (step, behind) in [1, 3, 29, 40, CHANGES_KEPT - 1, CHANGES_KEPT + 1].into_iter().enumerate() {
+        slots.iter().for_each(|slot| course.check(*slot));
+        for change in 0..behind as u64 {
+            course.step(1_000_000 * (step as u64 + 1) + change);
+            if course.caches.is_empty() {
+                course.join(0);
+            }
+        }
+        slots.iter().for_each(|slot| course.check(*slot));
+    }
+    course.brain.slots.version = Version::MAX - 2;
+    slots.iter().for_each(|slot| course.brain.slots.rows[*slot].version = Version::MAX - 2);
+    for id in 0..6 {
+        course.join(id);
+        course.join(9_000_000 + id);
+        slots.iter().for_each(|slot| course.check(*slot));
+    }
+    assert!(course.brain.slots.version < 20, "versions have begun anew");
 }
 
 #[test]
