After a hold-up closes, times and lists are looked at before anything is sent

Cause: the time of a request counted from when it was read, and sends were decided by what was known at the beginning of a turn. Whatever held the process up (a long turn, SIGSTOP, the scheduler), a read of a client that had closed, or whose time was over, was forwarded, with its whole time as d.

Change, in one place each. looks.rs: a wait for ready sockets is a look; what one reports came after the look before. A request's time counts from the earliest moment at which it can have come; timers fire as of the last look; nothing begins by a look older than 25 ms (the next look goes first), and its client is asked for where its own is older; lists that came during a hold-up are read before anything is sent; no latency includes a hold-up. Connections that come up begin behind the closes and lists of their turn (before: ahead of them). Lists are parsed and taken 128 hosts a turn, and looked through once however many pieces they come in (before: anew for each piece).

On the ordinary way no system call more: freshness is a comparison of two times.

--- a/crates/pipitrun/src/counters.rs
+++ b/crates/pipitrun/src/counters.rs
@@ -87,6 +87,22 @@
     id_open,
     /// Requests turned away for want of memory or places, without asking the module.
     overfull,
+    /// Requests whose time was over when they were read.
+    over_when_read,
+    /// Clients that were asked for right before something was sent for them, since the last look was too long ago.
+    clients_asked,
+    /// Of these, clients that had left.
+    clients_found_gone,
+    /// Attempts that waited for the next look at the sockets, since the last was too long ago.
+    postponed,
+    /// Times that the process was held up between two looks at the sockets.
+    held_up,
+    /// The longest of these, in milliseconds.
+    held_up_ms,
+    /// Turns of the loop that took long.
+    turns_long,
+    /// The longest turn, in microseconds.
+    turn_longest_us,
     /// Tries sent, the first of each request included.
     tries,
     /// Tries sent while another of the request was out.
--- /dev/null
+++ b/crates/pipitrun/src/event_loop/attempts.rs
@@ -0,0 +1,197 @@
+//! The loop's part in attempts: they get a connection, begin by what is true at their first byte, and end.
+
+use super::EventLoop;
+use crate::looks::Looks;
+use crate::peers::{Job, JobEnd, Outgoing, PeerEvent};
+use crate::resp::write_command;
+use crate::timers::{Due, MS};
+use finchyard::{AttemptNo, Nanos, Outcome, RequestId, ServerId};
+
+/// A probe is given up after this.
+const PROBE_TIMEOUT: Nanos = 500 * MS;
+/// Right behind the gathering attempts begin although it took long, up to this: each client is asked for then.
+const GATHERED: Nanos = 100 * MS;
+/// So many turns attempts wait for a look that is recent enough; where each takes long, they would wait for good.
+const POSTPONED_MOST: u32 = 3;
+
+/// An attempt as the module wants it sent.
+pub(super) struct Wanted {
+    pub(super) request: RequestId,
+    pub(super) attempt: AttemptNo,
+    pub(super) server: ServerId,
+    pub(super) timeout: Option<Nanos>,
+    pub(super) begin_within: Option<Nanos>,
+}
+
+impl EventLoop {
+    pub(super) fn peer_events(&mut self, now: Nanos, events: Vec<PeerEvent>) {
+        for event in events {
+            match event {
+                PeerEvent::Up { job } => self.up.push_back(job),
+                PeerEvent::Begun { job, length } => self.begun(now, job, length),
+                PeerEvent::Part { job, bytes } => self.part(now, job, &bytes),
+                PeerEvent::End { job, end } => self.job_ended(now, job, end),
+            }
+        }
+    }
+
+    /// Begins the jobs whose connections are up, as far as what is known is recent enough: nothing is sent by what was
+    /// true before the process was held up. `gathered`: all that the last look reported has just been taken in.
+    pub(super) fn begin_jobs(&mut self, gathered: bool) {
+        while let Some(job) = self.up.pop_front() {
+            let now = self.clock.now();
+            if !self.is_current(now, gathered) {
+                self.up.push_front(job);
+                self.counters.postponed += 1;
+                self.postponed_turns += u32::from(gathered);
+                return;
+            }
+            self.first_byte(now, job);
+        }
+        self.postponed_turns = 0;
+    }
+
+    /// Whether closes and lists were looked for recently enough to send something.
+    fn is_current(&self, now: Nanos, gathered: bool) -> bool {
+        let age = now.saturating_sub(self.looks.quiet());
+        let waited_long = gathered && self.postponed_turns >= POSTPONED_MOST;
+        let looked = Looks::is_fresh(self.looks.quiet(), now) || gathered && age <= GATHERED;
+        !self.catching_up && (looked || waited_long)
+    }
+
+    /// The connection of a job is up: the job begins, unless it is not wanted any more.
+    fn first_byte(&mut self, now: Nanos, job: Job) {
+        let command = match job {
+            Job::Try(request, attempt) => {
+                self.look_for_client(now, request);
+                self.tries.first_byte(now, request, attempt, &mut self.counters)
+            }
+            Job::Probe(_) => {
+                // Where load is reported the probe asks for it.
+                let load = !self.decide.names().report.is_empty();
+                let words: &[&[u8]] = if load { &[b"INFO", b"load"] } else { &[b"PING"] };
+                Ok(write_command(words))
+            }
+        };
+        match command {
+            Ok(command) => {
+                let mut events = Vec::new();
+                self.peers.begin(job, command, &mut events, &mut self.counters);
+                self.peer_events(now, events);
+            }
+            Err(never_sent) => {
+                if let Job::Try(request, attempt) = job {
+                    self.timers.cancel(Due::Try(request, attempt));
+                }
+                self.peers.abandon(job, &mut self.counters);
+                self.news.extend(never_sent.map(|event| *event));
+            }
+        }
+    }
+
+    /// Nothing is owed to a client that has left, though its end has not been read yet.
+    fn look_for_client(&mut self, now: Nanos, request: RequestId) {
+        let Some(connection) = self.tries.owed_to(request) else { return };
+        let mut events = Vec::new();
+        self.front.is_there(connection, now, &mut events, &mut self.counters);
+        self.front_events(now, events);
+    }
+
+    fn job_ended(&mut self, now: Nanos, job: Job, end: JobEnd) {
+        if let Job::Try(request, attempt) = job {
+            self.timers.cancel(Due::Try(request, attempt));
+            if let Some(connection) = self.tries.passing((request, attempt)) {
+                self.tries.passed(request);
+                let whole = matches!(end, JobEnd::Answer(_));
+                self.counters.broken_off += u64::from(!whole);
+                let mut events = Vec::new();
+                self.front.finish(connection, request, whole, now, &mut events, &mut self.counters);
+                return self.front_events(now, events);
+            }
+        }
+        self.counters.no_place += u64::from(end == JobEnd::NoPlace);
+        let (event, answer) = self.tries.finished(now, job, end, &mut self.counters);
+        self.news.extend(event);
+        if let Some(answer) = answer {
+            self.answer(now, answer);
+        }
+    }
+
+    /// A long value has begun to come.
+    fn begun(&mut self, now: Nanos, job: Job, length: usize) {
+        let Job::Try(request, attempt) = job else { return };
+        self.timers.cancel(Due::Try(request, attempt));
+        match self.tries.begun(now, (request, attempt), length, &mut self.counters) {
+            Some((event, answer)) => {
+                self.news.push(event);
+                self.answer(now, answer);
+            }
+            // Another try has answered, or the client has left.
+            None => {
+                self.peers.abandon(job, &mut self.counters);
+                let outcome = Outcome::Cancelled;
+                self.news.extend(self.tries.give_up(now, request, attempt, outcome, &mut self.counters));
+            }
+        }
+    }
+
+    /// Passes on the next bytes of a long value, and stops reading its cache while the client can't take more.
+    fn part(&mut self, now: Nanos, job: Job, bytes: &[u8]) {
+        let Job::Try(request, attempt) = job else { return };
+        let Some(connection) = self.tries.passing((request, attempt)) else { return };
+        self.front.part(connection, request, bytes);
+        let mut events = Vec::new();
+        self.front.flush(connection, now, &mut events, &mut self.counters);
+        // At half of what would have requests refused: long values must not cause that.
+        let waits = self.front.waits(connection, request) > 0;
+        let tight = waits && self.tries.held() + self.front.buffered() > self.memory / 2;
+        if self.front.holds_back(connection, request, tight) {
+            self.peers.pause(now, job, true, &mut self.timers);
+        }
+        self.front_events(now, events);
+    }
+
+    /// Begins an attempt, unless its request has no time any more.
+    pub(super) fn send(&mut self, now: Nanos, wanted: Wanted) {
+        let Wanted { request, attempt, server, timeout, begin_within } = wanted;
+        let bounds = (timeout, begin_within);
+        match self.tries.start(now, (request, attempt), server, bounds, &mut self.counters) {
+            Ok(outgoing) => {
+                if let Job::Try(request, attempt) = outgoing.job {
+                    self.timers.set(outgoing.until, Due::Try(request, attempt));
+                }
+                self.dispatch(now, outgoing);
+            }
+            Err(never_sent) => self.news.push(*never_sent),
+        }
+    }
+
+    /// Gives an attempt up, as the module wants.
+    pub(super) fn cancel(&mut self, now: Nanos, request: RequestId, attempt: AttemptNo) {
+        if self.peers.is_unsent(Job::Try(request, attempt)) {
+            self.tries.count_unsent(now, request, &mut self.counters);
+        }
+        let outcome = Outcome::Cancelled;
+        if let Some(event) = self.tries.give_up(now, request, attempt, outcome, &mut self.counters) {
+            self.timers.cancel(Due::Try(request, attempt));
+            self.peers.abandon(Job::Try(request, attempt), &mut self.counters);
+            self.news.push(event);
+        }
+    }
+
+    /// Probes a cache.
+    pub(super) fn probe(&mut self, now: Nanos, server: ServerId) {
+        let job = self.tries.probe(server, &mut self.counters);
+        if let Job::Probe(probe) = job {
+            self.timers.set(now + PROBE_TIMEOUT, Due::Probe(probe));
+        }
+        self.dispatch(now, Outgoing { job, server, until: now + PROBE_TIMEOUT });
+    }
+
+    fn dispatch(&mut self, now: Nanos, outgoing: Outgoing) {
+        let mut events = Vec::new();
+        self.peers.dispatch(now, outgoing, &mut self.timers, &mut events, &mut self.counters);
+        self.peer_events(now, events);
+        self.begin_jobs(false);
+    }
+}
--- /dev/null
+++ b/crates/pipitrun/src/event_loop/lists.rs
@@ -0,0 +1,113 @@
+//! The loop's part in lists of caches: what discovery tells goes to the module and to the pools, a part at a time.
+
+use super::EventLoop;
+use crate::decide::{known_phase, phase, server_id};
+use crate::peers::PeerEvent;
+use crate::timers::Due;
+use crate::upstream_group::messages::ListPart;
+use crate::upstream_group::{GroupEvent, Host, HostList};
+use finchyard::{Event, ListScope, Nanos, Phase, ServerId};
+use std::collections::BTreeSet;
+
+/// Hosts of a list that are taken in one turn: at some microseconds each, they hold nothing else up.
+const HOSTS_A_TURN: usize = 128;
+
+impl EventLoop {
+    pub(super) fn group_events(&mut self, events: Vec<GroupEvent>) {
+        for event in events {
+            match event {
+                GroupEvent::Stands => self.news.push(Event::DiscoveryAnew),
+                GroupEvent::News(part) => self.list_part(part),
+                GroupEvent::Failed => match self.group.again(self.clock.now()) {
+                    Some(at) => self.timers.set(at, Due::Watch),
+                    None => {
+                        let entries = Vec::new();
+                        self.news.push(Event::List { scope: ListScope::Failed, entries });
+                    }
+                },
+            }
+        }
+    }
+
+    /// Begins a watch, unless one is open.
+    pub(super) fn watch(&mut self, now: Nanos) {
+        let failed = self.group.watch(now, &mut self.timers, &mut self.counters);
+        self.group_events(failed.into_iter().collect());
+    }
+
+    /// Takes the next part of what discovery has told, if something is left.
+    pub(super) fn take_list(&mut self) {
+        let event = self.group.take(HOSTS_A_TURN, &mut self.counters);
+        self.group_events(event.into_iter().collect());
+    }
+
+    fn list_part(&mut self, part: ListPart) {
+        let ListPart { seq, whole, hosts, is_last } = part;
+        log::debug!(seq, whole, hosts = hosts.len(), is_last; "upstream group: a part of a message");
+        self.list(&HostList { seq, whole: false, hosts }, false);
+        if is_last && self.group.is_listed() {
+            self.serve();
+        }
+    }
+
+    /// Takes in a list that is known from before, in one go: nobody is served before it.
+    pub(super) fn known_list(&mut self, list: HostList) {
+        self.group.learn(&list);
+        self.list(&list, true);
+        if !list.hosts.is_empty() {
+            self.serve();
+        }
+    }
+
+    /// There is a list of caches.
+    fn serve(&mut self) {
+        let now = self.clock.now();
+        self.life.listed();
+        self.follow(now);
+    }
+
+    /// Tells the module of hosts, and the pools what is said of them.
+    fn list(&mut self, list: &HostList, stale: bool) {
+        let mut events = Vec::new();
+        let mut listed = BTreeSet::new();
+        for host in &list.hosts {
+            listed.insert(self.listed_host(host, &mut events));
+        }
+        if list.whole {
+            for server in self.peers.listed().into_iter().filter(|s| !listed.contains(s)) {
+                self.peers.withdraw(server, &mut events, &mut self.counters);
+                self.peers.forget(server);
+            }
+        }
+        self.news.push(self.decide.list(list, stale));
+        self.peer_events(self.clock.now(), events);
+    }
+
+    /// Tells the pools what is said of one host.
+    fn listed_host(&mut self, host: &Host, events: &mut Vec<PeerEvent>) -> ServerId {
+        let server = server_id(&host.host);
+        let phase = phase(&host.health);
+        if known_phase(&host.health).is_none() {
+            let health = &host.health;
+            log::warn!("upstream group: {}: health \"{health}\" is unknown; it gets nothing new", host.host);
+        }
+        match host.dial.parse() {
+            Ok(address) => {
+                if self.peers.set_address(server, address, events, &mut self.counters) {
+                    // The module's log lines name servers by their numbers only.
+                    log::info!("upstream group: {} is server {}, at {address}", host.host, server.0);
+                }
+            }
+            Err(_) => {
+                log::warn!("upstream group: {}: \"{}\" is no address with a port", host.host, host.dial)
+            }
+        }
+        if phase != Phase::Up {
+            self.peers.withdraw(server, events, &mut self.counters);
+        }
+        if phase == Phase::Removed {
+            self.peers.forget(server);
+        }
+        server
+    }
+}
--- a/crates/pipitrun/src/event_loop/tests.rs
+++ b/crates/pipitrun/src/event_loop/tests.rs
@@ -2,6 +2,7 @@
 //! order, whatever the kernel and the clock make of it. A connection is late for as long as the loop isn't told that it is up.
 
 use super::*;
+use crate::resp::write_command;
 use rstest::rstest;
 use serde_json::json;
 use socket2::SockRef;
@@ -103,16 +104,29 @@
     /// One turn that comes no sooner than this, in which just this is ready.
     fn turn_at(&mut self, at: Nanos, ready: Ready) {
         while self.the.clock.now() < at {}
-        self.the.gather(&mut vec![ready]);
-        self.the.settle();
+        self.gather(vec![ready]);
     }
 
     /// One turn in which just these are ready, in this order. Each is waited for, however long the kernel takes.
     fn turn(&mut self, sources: &[Source]) {
         self.the.settle();
-        let mut ready: Vec<Ready> = sources.iter().map(|source| self.wait(*source)).collect();
-        self.the.gather(&mut ready);
-        self.the.settle();
+        let ready: Vec<Ready> = sources.iter().map(|source| self.wait(*source)).collect();
+        self.gather(ready);
+    }
+
+    /// A turn behind a look that reports just these, and as many more without any as attempts wait for, however slow the
+    /// machine is.
+    fn gather(&mut self, mut ready: Vec<Ready>) {
+        loop {
+            let now = self.the.clock.now();
+            // For the loop these turns follow each other without a pause.
+            self.the.looks.prompt(now);
+            self.the.gather(&mut ready, true);
+            self.the.settle();
+            if self.the.up.is_empty() {
+                return;
+            }
+        }
     }
 
     fn wait(&mut self, source: Source) -> Ready {
@@ -488,14 +502,14 @@
     let (mut watch, _) = s.discovery.accept().unwrap();
     watch.write_all(text.as_bytes()).unwrap();
     let ready = s.wait(Source::Discovery(0));
-    s.the.gather(&mut vec![ready]);
+    s.the.gather(&mut vec![ready], true);
     assert_eq!(s.the.news.contains(&Event::DiscoveryAnew), stands);
     s.the.settle();
     // A second empty line is no news of it either.
     if stands {
         watch.write_all(b"\n").unwrap();
         let ready = s.wait(Source::Discovery(0));
-        s.the.gather(&mut vec![ready]);
+        s.the.gather(&mut vec![ready], true);
         assert!(!s.the.news.contains(&Event::DiscoveryAnew));
     }
 }
@@ -515,7 +529,7 @@
     s.until(|the| the.counters.clients_accepted >= places as u64);
     drop(down);
     let ended = s.wait(Source::Discovery(0));
-    s.the.gather(&mut vec![ended]);
+    s.the.gather(&mut vec![ended], true);
     s.the.settle();
     assert_eq!(s.the.counters.list_failed, 1);
     s.until(|the| the.counters.list_calls == 2);
--- a/crates/pipitrun/src/event_loop/upgrade.rs
+++ b/crates/pipitrun/src/event_loop/upgrade.rs
@@ -77,7 +77,7 @@
         let known = self.group.seq().unwrap_or(0);
         log::info!("notes of the other process: list {}, {} is known", notes.list.seq, known);
         if notes.list.seq > known {
-            self.list(notes.list, true);
+            self.known_list(notes.list);
         }
         // The list goes first: what was learnt is of caches that are listed.
         self.settle();
--- a/crates/pipitrun/src/front/resp.rs
+++ b/crates/pipitrun/src/front/resp.rs
@@ -3,6 +3,7 @@
 use super::LEAVE;
 use crate::counters::Counters;
 use crate::life_cycle::{Door, Stance};
+use crate::looks::{Looks, Presence};
 use crate::poll::{Poll, Ready, Source, Watched, discard, has_ended, has_unsent, is_silent};
 use crate::request::{FinalAnswer, Incoming, Order, Ticket};
 use crate::resp::{self, VALUE_MAX, read_command};
@@ -99,6 +100,8 @@
     spoken: bool,
     /// Nothing more is sent on it: it is closed when the client has closed, or by this time.
     leaves: Option<Nanos>,
+    /// What the looks at its socket tell of the client.
+    presence: Presence,
 }
 
 impl ClientConnection {
@@ -133,13 +136,23 @@
     /// What follows from the life cycle; set by `follow` alone.
     stance: Stance,
     accepting: bool,
+    /// When the sockets were last looked at.
+    looks: Looks,
+    /// Since when clients may have waited at the listener, if not all were taken.
+    door_waits: Option<Nanos>,
     /// What one read takes: kept by all together, since most connections stand idle.
     scratch: Vec<u8>,
 }
 
 impl RespFront {
     /// Takes clients from this socket; at most `most` connections are held at once.
-    pub fn listen(poll: &Poll, listener: TcpListener, most: usize, stance: Stance) -> io::Result<Self> {
+    pub fn listen(
+        poll: &Poll,
+        listener: TcpListener,
+        most: usize,
+        stance: Stance,
+        looks: Looks,
+    ) -> io::Result<Self> {
         log::info!("listening on {}, for at most {most} client connections", listener.local_addr()?);
         listener.set_nonblocking(true)?;
         let listener = poll.watch(listener, Source::Listener, true, false)?;
@@ -152,6 +165,8 @@
             next_request: 1,
             stance,
             accepting: true,
+            looks,
+            door_waits: None,
             scratch: vec![0; READ_SIZE],
         };
         front.pause(false);
@@ -163,6 +178,37 @@
         self.most = most;
     }
 
+    /// The sockets were looked at, and somebody waits at the listener or not; to be told before what was found is taken in.
+    pub fn set_looks(&mut self, looks: Looks, somebody_waits: bool) {
+        self.looks = looks;
+        if self.accepting && !somebody_waits {
+            self.door_waits = None;
+        }
+    }
+
+    /// Whether the client of this connection is there, by a look that is recent enough or else by asking the kernel. One that
+    /// has left is removed.
+    pub fn is_there(
+        &mut self,
+        number: u64,
+        now: Nanos,
+        events: &mut Vec<FrontEvent>,
+        counters: &mut Counters,
+    ) -> bool {
+        let Some(c) = self.connections.get_mut(&number) else { return false };
+        if Looks::is_fresh(c.presence.seen(&self.looks, c.is_read()), now) {
+            return true;
+        }
+        counters.clients_asked += 1;
+        if has_ended(c.stream.socket()) {
+            counters.clients_found_gone += 1;
+            self.remove(number, counters, events);
+            return false;
+        }
+        c.presence.is_there(now);
+        true
+    }
+
     /// Bytes held for clients, unread and unsent.
     pub fn buffered(&self) -> usize {
         let answered = |p: &Place| match p {
@@ -189,6 +235,9 @@
         if self.stance.door.is_others() {
             return;
         }
+        // Who is taken now may have waited since then, unless none was left when the listener was last served.
+        let waited_since = self.looks.arrived().min(self.door_waits.unwrap_or(Nanos::MAX));
+        self.door_waits = Some(waited_since);
         for _ in 0..ACCEPT_MAX {
             if self.connections.len() >= self.most && !self.make_room(now, counters) {
                 // All are at work: whoever comes waits in the listener's queue until one is done. Taking it
@@ -225,10 +274,14 @@
                             since: now,
                             spoken: false,
                             leaves: None,
+                            presence: Presence::accepted(&self.looks, waited_since),
                         },
                     );
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    self.door_waits = None;
+                    return;
+                }
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
                     // Out of descriptors, most likely: without a pause the loop would spin on the same error.
@@ -245,7 +298,13 @@
             && self.accepting == pause
         {
             match listener.interest(!pause, false) {
-                Ok(()) => self.accepting = !pause,
+                Ok(()) => {
+                    self.accepting = !pause;
+                    if pause {
+                        // Nobody looks at the listener from now on.
+                        self.door_waits.get_or_insert(self.looks.quiet());
+                    }
+                }
                 Err(e) => log::warn!("listener: {e}"),
             }
         }
@@ -321,7 +380,8 @@
                 }
                 c.input.extend_from_slice(&self.scratch[..n]);
                 c.active = now;
-                self.parse(number, now, events, counters);
+                let arrived = c.presence.read(&self.looks, n == most);
+                self.parse(number, (now, arrived), events, counters);
                 self.flush(number, now, events, counters);
             }
             Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
@@ -330,7 +390,13 @@
     }
 
     /// Takes the whole commands that have come, as many as may wait for their answers.
-    fn parse(&mut self, number: u64, now: Nanos, events: &mut Vec<FrontEvent>, counters: &mut Counters) {
+    fn parse(
+        &mut self,
+        number: u64,
+        (now, arrived): (Nanos, Nanos),
+        events: &mut Vec<FrontEvent>,
+        counters: &mut Counters,
+    ) {
         let Some(c) = self.connections.get_mut(&number) else { return };
         let mut at = 0;
         while c.takes_commands() {
@@ -351,6 +417,7 @@
                                 .push_back(Place::Answered(encode(FinalAnswer::Refused { retry_after: 0 })));
                         }
                         Taken::Request(incoming) => {
+                            let incoming = Incoming { arrived, ..incoming };
                             self.next_request += 1;
                             c.places.push_back(Place::Waiting(incoming.ticket.request));
                             counters.taken += 1;
@@ -513,7 +580,9 @@
             // Commands that were left unread because too much was owed may go on now.
             let before = c.places.len();
             if !c.input.is_empty() && c.takes_commands() {
-                self.parse(number, now, events, counters);
+                // What waited behind others on its connection has its time from now on, unless it has just come.
+                let arrived = c.presence.read_in_turn(&self.looks).unwrap_or(now);
+                self.parse(number, (now, arrived), events, counters);
             }
             let Some(c) = self.connections.get_mut(&number) else { return };
             let more = matches!(c.places.front(), Some(Place::Answered(_))) && c.places.len() > before;
@@ -757,7 +826,7 @@
     }
     let patience = (ms * MS as f64) as Nanos;
     let order = Order { value, key: key.to_vec(), id: id.to_vec(), fields: kept };
-    Ok(Incoming { ticket, class, tenant, patience, work, order })
+    Ok(Incoming { ticket, class, tenant, arrived: 0, patience, work, order })
 }
 
 fn error(text: &str) -> Vec<u8> {
--- a/crates/pipitrun/src/front/resp/tests.rs
+++ b/crates/pipitrun/src/front/resp/tests.rs
@@ -13,7 +13,7 @@
 fn front(most: usize) -> (RespFront, impl Fn() -> TcpStream) {
     let poll = Poll::new().expect("a poller");
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let front = RespFront::listen(&poll, listener, most, SERVING).expect("it listens");
+    let front = RespFront::listen(&poll, listener, most, SERVING, Looks::start(0)).expect("it listens");
     let address = front.listener.as_ref().unwrap().socket().local_addr().unwrap();
     let connect = move || {
         let client = TcpStream::connect(address).expect("it takes clients");
--- a/crates/pipitrun/src/main.rs
+++ b/crates/pipitrun/src/main.rs
@@ -12,6 +12,7 @@
 mod front;
 mod hand_over;
 mod life_cycle;
+mod looks;
 mod passing;
 mod peers;
 mod poll;
--- a/crates/pipitrun/src/poll.rs
+++ b/crates/pipitrun/src/poll.rs
@@ -183,18 +183,19 @@
         Ok(Watched { socket, source, interest: (readable, writable), poller: Rc::clone(&self.poller) })
     }
 
-    /// Waits until a socket is ready or the time is over, and appends what is ready.
+    /// Waits until a socket is ready or the time is over, and appends what is ready. False if a signal came in between: then
+    /// the sockets were not looked at. `events` has room for more than a process may have descriptors.
     pub fn wait(
         &self,
         events: &mut Events,
         timeout: Option<Duration>,
         ready: &mut Vec<Ready>,
-    ) -> io::Result<()> {
+    ) -> io::Result<bool> {
         events.clear();
         match self.poller.wait(events, timeout) {
             Ok(_) => {}
             // A signal came in; its pipe is ready at the next turn.
-            Err(e) if e.kind() == io::ErrorKind::Interrupted => return Ok(()),
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => return Ok(false),
             Err(e) => return Err(e),
         }
         ready.extend(events.iter().map(|e| Ready {
@@ -202,7 +203,7 @@
             readable: e.readable,
             writable: e.writable,
         }));
-        Ok(())
+        Ok(true)
     }
 }
 
--- a/crates/pipitrun/src/request.rs
+++ b/crates/pipitrun/src/request.rs
@@ -23,7 +23,9 @@
     pub class: String,
     /// Its tenant, by name.
     pub tenant: Option<String>,
-    /// How long the client waits.
+    /// The earliest time at which it can have come.
+    pub arrived: Nanos,
+    /// How long the client waits from then on.
     pub patience: Nanos,
     /// The client's guess at the work on a standard core, if it gives one.
     pub work: Option<Nanos>,
@@ -90,6 +92,8 @@
     pub server: ServerId,
     /// When.
     pub sent: Nanos,
+    /// For how long the process had been held up by then, in all.
+    pub lost: Nanos,
     /// When it has had its time.
     pub until: Nanos,
     /// Its first byte is written by then or never.
--- a/crates/pipitrun/src/tries.rs
+++ b/crates/pipitrun/src/tries.rs
@@ -24,6 +24,8 @@
     passing: HashMap<RequestId, (u64, AttemptNo)>,
     /// Bytes of all contexts.
     held: usize,
+    /// For how long the process was held up so far, in all: no cache is to be blamed for that.
+    lost: Nanos,
 }
 
 impl Tries {
@@ -42,9 +44,14 @@
         self.ids.contains(id)
     }
 
-    /// Takes a request.
-    pub fn take(&mut self, now: Nanos, incoming: Incoming) {
-        let deadline = now.saturating_add(incoming.patience);
+    /// For how long the process was held up so far, in all.
+    pub fn set_lost(&mut self, lost: Nanos) {
+        self.lost = lost;
+    }
+
+    /// Takes a request. Its time counts from when it can have come.
+    pub fn take(&mut self, incoming: Incoming) {
+        let deadline = incoming.arrived.saturating_add(incoming.patience);
         self.held += incoming.order.size();
         self.ids.insert(incoming.order.id.clone());
         let id = incoming.ticket.request;
@@ -100,6 +107,16 @@
         Some((ticket, answer))
     }
 
+    /// How much of a request's time is left, while it is open.
+    pub fn left(&self, now: Nanos, request: RequestId) -> Option<Nanos> {
+        Some(self.contexts.get(&request)?.deadline.saturating_sub(now))
+    }
+
+    /// The client connection to which an answer is owed.
+    pub fn owed_to(&self, request: RequestId) -> Option<u64> {
+        Some(self.contexts.get(&request)?.owed.as_ref()?.connection)
+    }
+
     fn clear(&mut self, request: RequestId) {
         if self.contexts.get(&request).is_some_and(RequestContext::is_over)
             && let Some(context) = self.contexts.remove(&request)
@@ -130,7 +147,7 @@
         counters: &mut Counters,
     ) -> Result<Outgoing, Box<Event>> {
         // The attempt is the module's own number: with a wrong one it would wait for its end for good.
-        let moot = |finished| Box::new(ended(request, attempt, (server, now), now, Outcome::Moot, finished));
+        let moot = |finished| Box::new(ended(request, attempt, server, 0, Outcome::Moot, finished));
         let Some(context) = self.contexts.get_mut(&request) else { return Err(moot(true)) };
         // A peer is told whole milliseconds, and one that answers within microseconds may well need one once.
         let time = timeout.map_or(Nanos::MAX, |t| t.max(MS));
@@ -142,7 +159,8 @@
         counters.tries += 1;
         counters.copies += u64::from(!context.out.is_empty());
         let begin_by = begin_within.map_or(Nanos::MAX, |within| now.saturating_add(within));
-        context.out.insert(attempt, Try { server, sent: now, until, begin_by });
+        let lost = self.lost;
+        context.out.insert(attempt, Try { server, sent: now, lost, until, begin_by });
         Ok(Outgoing { job: Job::Try(request, attempt), server, until })
     }
 
@@ -186,13 +204,14 @@
         counters: &mut Counters,
     ) -> Option<Event> {
         let context = self.contexts.get_mut(&request)?;
-        let Try { server, sent, .. } = context.out.remove(&attempt)?;
+        let Try { server, sent, lost, .. } = context.out.remove(&attempt)?;
         let finished = context.owed.is_none();
         self.clear(request);
-        let ms = now.saturating_sub(sent) / MS;
+        let latency = now.saturating_sub(sent).saturating_sub(self.lost - lost);
+        let ms = latency / MS;
         log::trace!("request {} try {} at {}: {outcome:?} after {ms} ms", request.0, attempt.0, server.0);
         count(outcome, counters);
-        Some(ended(request, attempt, (server, sent), now, outcome, finished))
+        Some(ended(request, attempt, server, latency, outcome, finished))
     }
 
     /// Begins a probe.
@@ -262,12 +281,11 @@
 fn ended(
     request: RequestId,
     attempt: AttemptNo,
-    (server, sent): (ServerId, Nanos),
-    now: Nanos,
+    server: ServerId,
+    latency: Nanos,
     outcome: Outcome,
     finished: bool,
 ) -> Event {
-    let latency = now.saturating_sub(sent);
     Event::Ended(Ended { request, attempt, server, outcome, latency, finished, note: None, load: None })
 }
 
--- a/crates/pipitrun/src/tries/tests.rs
+++ b/crates/pipitrun/src/tries/tests.rs
@@ -26,15 +26,29 @@
     assert_eq!(served.expect("without a report that can be read too").load, Some(Load::default()));
 }
 
+fn incoming(ticket: Ticket, patience: Nanos, order: Order) -> Incoming {
+    Incoming { ticket, class: String::new(), tenant: None, arrived: 0, patience, work: None, order }
+}
+
+#[test]
+fn no_cache_is_blamed_for_what_the_process_was_held_up() {
+    let (mut tries, mut counters) = (Tries::default(), Counters::default());
+    let order = Order { value: None, key: b"k".to_vec(), id: b"i".to_vec(), fields: Vec::new() };
+    tries.take(incoming(Ticket { request: RequestId(1), connection: 0 }, 9_000 * MS, order));
+    tries.set_lost(40 * MS);
+    let first = (RequestId(1), AttemptNo(0));
+    assert!(tries.start(0, first, ServerId(1), (None, None), &mut counters).is_ok());
+    tries.set_lost(690 * MS);
+    let end = tries.give_up(660 * MS, first.0, first.1, Outcome::Timeout, &mut counters);
+    assert!(matches!(end, Some(Event::Ended(Ended { latency, .. })) if latency == 10 * MS), "{end:?}");
+}
+
 #[test]
 fn a_try_that_comes_too_late_ends_under_its_own_number() {
     let (mut tries, mut counters) = (Tries::default(), Counters::default());
     let order = Order { value: None, key: b"k".to_vec(), id: b"i".to_vec(), fields: Vec::new() };
     let ticket = Ticket { request: RequestId(1), connection: 0 };
-    tries.take(
-        0,
-        Incoming { ticket, class: String::new(), tenant: None, patience: 100 * MS, work: None, order },
-    );
+    tries.take(incoming(ticket, 100 * MS, order));
     assert!(tries.is_open(b"i") && !tries.is_open(b"j"));
     let first = (RequestId(1), AttemptNo(0));
     assert!(tries.start(0, first, ServerId(1), (None, None), &mut counters).is_ok());
@@ -53,7 +67,7 @@
         let (mut tries, mut counters) = (Tries::default(), Counters::default());
         let order = Order { value: None, key: b"k".to_vec(), id: b"i".to_vec(), fields: Vec::new() };
         let ticket = Ticket { request: RequestId(1), connection: 0 };
-        tries.take(0, Incoming { ticket, class: String::new(), tenant: None, patience, work: None, order });
+        tries.take(incoming(ticket, patience, order));
         // Peers that answer within 0.1 ms have the module give a try up after a fraction of one.
         let first = (RequestId(1), AttemptNo(0));
         let started = tries.start(0, first, ServerId(1), (Some(MS / 4), None), &mut counters);
--- a/crates/pipitrun/src/upstream_group.rs
+++ b/crates/pipitrun/src/upstream_group.rs
@@ -1,14 +1,16 @@
 //! The upstream group: discovery's list of peers, and the watch that keeps it fresh.
 
+pub mod messages;
+
 use crate::agent::Pace;
 use crate::counters::Counters;
 use crate::poll::{Poll, Ready, Source, Watched, connect};
 use crate::timers::{Due, MS, Timers};
 use finchyard::Nanos;
-use serde::de::IgnoredAny;
+use messages::{ListPart, Message, MessageScanner};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
@@ -82,7 +84,7 @@
     /// A watch stands: the first of what it tells has come, though it be an empty line.
     Stands,
     /// News of the list.
-    News(HostList),
+    News(ListPart),
     /// The watch ended or never began.
     Failed,
 }
@@ -101,10 +103,11 @@
     written: usize,
     input: Vec<u8>,
     body: Option<Body>,
-    /// What of the answer's text has come since the last whole line.
+    /// What of the answer's text has come since the last whole message.
     text: Vec<u8>,
-    /// A message may end in what has come: otherwise a long list is not looked through for each of its parts.
-    has_end: bool,
+    scanner: MessageScanner,
+    /// The last read took all that there was room for: more may wait.
+    is_behind: bool,
     heard: Nanos,
     /// The version of its last line.
     seq: Option<u64>,
@@ -120,8 +123,10 @@
     next_call: u64,
     /// The version up to which all changes are known.
     seq: Option<u64>,
-    /// All that are listed, as of that version, by name.
+    /// All that are listed, as of that version and what was taken of `pending`, by name.
     hosts: BTreeMap<String, Host>,
+    /// Messages that have come and are not all taken. While there is one nothing more is read.
+    pending: VecDeque<Message>,
     /// A watch was begun at some time, and is wanted from then on.
     wanted: bool,
     /// When the last watch began.
@@ -143,6 +148,7 @@
             next_call: 0,
             seq: None,
             hosts,
+            pending: VecDeque::new(),
             wanted: false,
             begun: 0,
             failures: 0,
@@ -161,13 +167,17 @@
         Some(now + wait)
     }
 
-    /// Takes over what is listed now, from discovery or from before.
+    /// Takes over a list from before.
     pub fn learn(&mut self, list: &HostList) {
-        self.seq = Some(list.seq);
         if list.whole {
             self.hosts.clear();
         }
-        for host in &list.hosts {
+        self.learn_hosts(&list.hosts);
+        self.seq = Some(list.seq);
+    }
+
+    fn learn_hosts(&mut self, hosts: &[Host]) {
+        for host in hosts {
             if host.health == "terminated" {
                 self.hosts.remove(&host.host);
             } else {
@@ -176,6 +186,40 @@
         }
     }
 
+    /// Whether something of the list has come, or may have, that is not taken yet.
+    pub fn is_behind(&self) -> bool {
+        self.has_pending() || self.call.as_ref().is_some_and(|call| call.is_behind)
+    }
+
+    /// Whether [`UpstreamGroup::take`] has something to give.
+    pub fn has_pending(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
+    /// The next hosts that discovery has told of, at most `most`. The first list is given whole: nobody is served before it.
+    /// Its version counts as known once a message is over.
+    pub fn take(&mut self, most: usize, counters: &mut Counters) -> Option<GroupEvent> {
+        let most = if self.seq.is_none() { usize::MAX } else { most };
+        let part = match self.pending.front_mut()?.take(most, &self.hosts) {
+            Ok(part) => part,
+            Err(problem) => {
+                self.pending.clear();
+                return Some(self.fail(&problem, counters));
+            }
+        };
+        self.learn_hosts(&part.hosts);
+        if part.is_last {
+            self.seq = Some(part.seq);
+            self.pending.pop_front();
+        }
+        Some(GroupEvent::News(part))
+    }
+
+    /// Whether any host is listed.
+    pub fn is_listed(&self) -> bool {
+        !self.hosts.is_empty()
+    }
+
     /// The version of the list that is known, if one is.
     pub fn seq(&self) -> Option<u64> {
         self.seq
@@ -211,7 +255,8 @@
                     input: Vec::new(),
                     body: None,
                     text: Vec::new(),
-                    has_end: false,
+                    scanner: MessageScanner::default(),
+                    is_behind: false,
                     heard: now,
                     seq: None,
                     stands: false,
@@ -251,6 +296,9 @@
         let Some(call) = self.call.as_mut().filter(|c| Source::Discovery(c.number) == ready.source) else {
             return;
         };
+        if !self.pending.is_empty() {
+            return;
+        }
         let result = if ready.writable && call.written < call.request.len() { call.write() } else { Ok(()) };
         let result = match result {
             Ok(()) if ready.readable => call.read(now),
@@ -260,7 +308,7 @@
             events.push(GroupEvent::Stands);
         }
         // Whole lines that came before an end or an error still count.
-        let result = self.lines(events, counters).and(result);
+        let result = self.lines(counters).and(result);
         if let Err(problem) = result {
             events.push(self.fail(&problem, counters));
         }
@@ -309,45 +357,31 @@
 
     /// Takes what is whole of the text that has come. A message ends with its last brace, on whatever line that is: lists may
     /// come indented.
-    fn lines(&mut self, events: &mut Vec<GroupEvent>, counters: &mut Counters) -> Result<(), String> {
+    fn lines(&mut self, counters: &mut Counters) -> Result<(), String> {
         let Some(call) = self.call.as_mut() else { return Ok(()) };
-        let mut at = 0;
-        while call.has_end {
-            // Empty lines between two messages are part of none.
-            at += call.text[at..].iter().take_while(|b| b.is_ascii_whitespace()).count();
-            let text = &call.text[at..];
-            let mut messages = serde_json::Deserializer::from_slice(text).into_iter::<IgnoredAny>();
-            let length = match messages.next() {
-                Some(Ok(_)) => messages.byte_offset(),
-                Some(Err(e)) if !e.is_eof() => return Err(format!("line of the list: {e}")),
-                _ if text.windows(2).any(|two| two == b"\n\n") => {
-                    return Err("line of the list: has no end".into());
-                }
-                _ => {
-                    call.has_end = false;
-                    break;
-                }
-            };
-            at += length;
-            let mut json = serde_json::Deserializer::from_slice(&text[..length]);
-            let list: HostList = serde_path_to_error::deserialize(&mut json)
-                .map_err(|e| format!("line of the list: {}: {}", e.path(), e.inner()))?;
+        while let Some(place) = call.scanner.next(&call.text)? {
+            let text = call.text[place.clone()].to_vec();
+            call.text.drain(..place.end);
+            let message = Message::read(text)?;
             // Within a watch versions only grow: an older line is late news, and would bring back what has gone. The
             // first is taken whatever it says if it is a whole list: discovery itself may count anew. A change is told of
             // the version that was asked from, and an older one than that is late news too.
-            let known = call.seq.or(self.seq.filter(|_| !list.whole));
-            if known.is_some_and(|seq| list.seq < seq) {
+            let known = call.seq.or(self.seq.filter(|_| !message.whole));
+            if known.is_some_and(|seq| message.seq < seq) {
                 counters.list_old += 1;
-                let (address, seq) = (self.address, list.seq);
+                let (address, seq) = (self.address, message.seq);
                 log::warn!("discovery at {address}: a line of version {seq} is left, {known:?} was told");
                 continue;
             }
-            call.seq = Some(list.seq);
+            call.seq = Some(message.seq);
             self.failures = 0;
             counters.list_news += 1;
-            events.push(GroupEvent::News(list));
+            self.pending.push_back(message);
+        }
+        if call.scanner.is_between() {
+            call.text.clear();
+            call.scanner = MessageScanner::default();
         }
-        call.text.drain(..at);
         if call.text.len() > LINE_MAX { Err("line of the list: too long".into()) } else { Ok(()) }
     }
 }
@@ -373,6 +407,7 @@
         self.input.resize(held + READ_SIZE, 0);
         let got = self.stream.socket().read(&mut self.input[held..]);
         self.input.truncate(held + *got.as_ref().unwrap_or(&0));
+        self.is_behind = matches!(got, Ok(READ_SIZE));
         match got {
             Ok(0) => return Err("the watch has ended".into()),
             Ok(_) => self.heard = now,
@@ -382,10 +417,7 @@
         if self.body.is_none() {
             self.head()?;
         }
-        let held = self.text.len();
-        let decoded = self.decode();
-        self.has_end |= self.text[held..].iter().any(|b| matches!(b, b'}' | b'\n'));
-        decoded
+        self.decode()
     }
 
     /// How far it has come, as the log tells it.
--- a/crates/pipitrun/src/upstream_group/tests.rs
+++ b/crates/pipitrun/src/upstream_group/tests.rs
@@ -44,6 +44,7 @@
             |readable| Ready { source: Source::Discovery(number as u64), readable, writable: !readable };
         while !matches!(events.last(), Some(GroupEvent::Failed)) {
             group.ready(0, ready(true), &mut events, &mut counters);
+            group.take(usize::MAX, &mut counters);
         }
         events.clear();
         assert_eq!(group.failures, failures);
@@ -93,6 +94,14 @@
     fn ready(&mut self, now: Nanos, readable: bool) {
         let ready = Ready { source: Source::Discovery(0), readable, writable: !readable };
         self.group.ready(now, ready, &mut self.events, &mut self.counters);
+        // What was told goes before the end of the watch that told it.
+        let mut news = Vec::new();
+        while let Some(event) = self.group.take(usize::MAX, &mut self.counters) {
+            news.push(event);
+        }
+        let end = self.events.iter().position(|event| matches!(event, GroupEvent::Failed));
+        let place = end.unwrap_or(self.events.len());
+        self.events.splice(place..place, news);
     }
 
     /// Discovery writes this, and it is read.
@@ -103,7 +112,7 @@
 
     fn told(&mut self) -> Vec<(u64, bool)> {
         let told = |event| match event {
-            GroupEvent::News(list) => Some((list.seq, list.whole)),
+            GroupEvent::News(part) => part.is_last.then_some((part.seq, part.whole)),
             GroupEvent::Stands | GroupEvent::Failed => None,
         };
         self.events.drain(..).filter_map(told).collect()
