--- a/crates/finchyard/src/brain.rs
+++ b/crates/finchyard/src/brain.rs
@@ -72,6 +72,7 @@
 const DISTRESS: f64 = 0.6; // Under this share the origin is in distress: no copies, and no retries of errors.
 const KNOWN_FOR: Nanos = 4_000 * MS; // A key answered in this or the last such period is probably held.
 const IDLE_CONNECTIONS: usize = 60; // Left open at a server over all routers: a handshake has its price.
+const IDLE_MOST: usize = 64; // ... and of one router at so many, however many there are: each is a descriptor.
 const IDLE_LEAST: Nanos = 500 * MS; // Those beyond it are closed once idle for this long.
 const HOUSEKEEPING: Nanos = 100 * MS; // Short against every deadline, long enough to cost nothing.
 const RATE_TAU: f64 = 2.0 * SEC; // Memory of request rates: under a cold window, and quick to grow back.
@@ -856,9 +857,17 @@
 
     /// Suspicion once strikes suffice: no draw until a trial after a growing, jittered wait.
     fn suspect(&mut self, id: ServerId, s: &mut Server, silent: f64) {
+        self.suspect_beyond(self.strikes_enough(), id, s, silent);
+    }
+
+    /// Strikes in a row that are seldom chance, by the share of attempts that come to nothing anywhere.
+    fn strikes_enough(&self) -> f64 {
+        STRIKES.max(CHANCE.ln() / self.bad.clamp(0.01, 0.99).ln())
+    }
+
+    fn suspect_beyond(&mut self, enough: f64, id: ServerId, s: &mut Server, silent: f64) {
         let jitter = self.random_below(1000) as f64 / 1000.0;
         let waiting = s.suspect_until.is_some_and(|until| self.now < until);
-        let enough = STRIKES.max(CHANCE.ln() / self.bad.clamp(0.01, 0.99).ln());
         if s.strikes + silent < enough || waiting {
             return;
         }
@@ -882,53 +891,6 @@
         }
     }
 
-    fn housekeeping(&mut self) {
-        self.timer(HOUSEKEEPING, Timer::Housekeeping);
-        let overdue = self.overdue();
-        let least = self.start_limit(1.0);
-        // Out of the table meanwhile: a look-up for each step would cost more than the steps.
-        let mut servers = std::mem::take(&mut self.servers);
-        for (id, s) in &mut servers {
-            let unheard = |sent: Nanos| sent >= s.last_answer && self.now.saturating_sub(sent) > overdue;
-            let silent = s.out.iter().filter(|o| unheard(o.0)).count();
-            let due = s.suspect_until.is_some_and(|until| self.now >= until) && !s.proven;
-            if due && self.settings.limits.probes && s.entry.phase == Phase::Up {
-                self.actions.push(Action::Probe(*id));
-                s.suspect_until = Some(self.now + BACKOFF_MAX);
-            }
-            // Unused room must not let a surge in before latency tells; a limit cut low gets its start back.
-            if (s.out.len() as f64) < s.limit / 2.0 {
-                s.limit = (s.limit * LIMIT_FADE).max(least);
-            }
-            s.turned *= TURNED_FADE;
-            s.latency.fade(if s.out.is_empty() { TURNED_FADE } else { 1.0 });
-            self.suspect(*id, s, silent as f64);
-        }
-        self.servers = servers;
-        self.close_idle();
-        self.usual = middle(self.caches().map(|(_, s)| s.latency.now)).unwrap_or(f64::MAX / SLOW);
-        self.ready_weight = self.caches().map(|(_, s)| self.weight(&s.entry) * self.ramp(&s.entry)).sum();
-        let up = self.servers.values().filter(|s| s.entry.phase == Phase::Up);
-        let suspects = up.filter(|s| s.suspect_until.is_some() || s.turned > CALM).count();
-        // Half the fleet may be cut off with a zone; beyond that the fault is ours or everybody's: fail open.
-        self.suspicion_void = suspects as f64 > VOID_SHARE * self.servers.len() as f64;
-        self.release_held();
-    }
-
-    /// Hundreds of routers would fill a server's table with connections that they hardly ever use again.
-    fn close_idle(&mut self) {
-        let idle = || self.servers.iter().filter_map(|(id, s)| Some((s.idle_since?, *id)));
-        let keep = IDLE_CONNECTIONS * self.servers.len() / self.settings.routers.max(1);
-        let beyond = idle().count().saturating_sub(keep);
-        let is_long = |(since, _): &(Nanos, ServerId)| self.now.saturating_sub(*since) >= IDLE_LEAST;
-        let mut longest: Vec<(Nanos, ServerId)> = idle().filter(is_long).collect();
-        longest.sort_unstable();
-        for (_, id) in longest.into_iter().take(beyond) {
-            self.actions.push(Action::Close(id));
-            self.servers.entry(id).and_modify(|s| s.idle_since = None);
-        }
-    }
-
     fn on_list(&mut self, scope: ListScope, entries: Vec<Entry>) {
         match scope {
             ListScope::Failed => {
@@ -983,6 +945,7 @@
     }
 }
 
+mod housekeeping;
 mod learnt;
 mod plumbing;
 mod slots;
--- a/crates/finchyard/src/brain/tests.rs
+++ b/crates/finchyard/src/brain/tests.rs
@@ -739,17 +739,20 @@
 
 #[test]
 fn hundreds_of_routers_leave_few_connections_idle_and_a_few_routers_theirs() {
-    for (routers, left) in [(2, 40), (200, 12)] {
+    for (routers, servers, left) in [(2, 40, 40), (200, 40, 12), (2, 400, IDLE_MOST), (300, 3_200, IDLE_MOST)]
+    {
         let mut brain = Brain::new(Settings { routers, ..settings() }, 1, 0).expect("settings make sense");
-        let entries = (0..40).map(|n| Entry { server: ServerId(n), ..Entry::default() }).collect();
+        let entries = (0..servers).map(|n| Entry { server: ServerId(n), ..Entry::default() }).collect();
         brain.on_list(ListScope::Whole, entries);
         brain.now = 1_000 * MS;
         brain.servers.values_mut().for_each(|s| s.idle_since = Some(400 * MS + s.entry.server.0));
         brain.actions.clear();
-        brain.close_idle();
+        let idle = brain.servers.iter().filter_map(|(id, s)| Some((s.idle_since?, *id))).collect();
+        brain.close_idle(idle);
         let closed: Vec<&Action> = brain.actions.iter().filter(|a| matches!(a, Action::Close(_))).collect();
-        assert_eq!((closed.len(), brain.actions.len()), (40 - left, 40 - left));
-        assert!(left == 40 || !closed.contains(&&Action::Close(ServerId(39))), "the last used stay");
+        let beyond = servers as usize - left;
+        assert_eq!((closed.len(), brain.actions.len()), (beyond, beyond));
+        assert!(!closed.contains(&&Action::Close(ServerId(servers - 1))), "the last used stay");
     }
 }
 
--- a/crates/pipitrun/src/event_loop/lists.rs
+++ b/crates/pipitrun/src/event_loop/lists.rs
@@ -12,6 +12,9 @@
 /// Hosts of a list that are taken in one turn: at some microseconds each, they hold nothing else up.
 const HOSTS_A_TURN: usize = 128;
 
+/// Of a part with more hosts than this each has its line in the log at the level `debug` only.
+const HOSTS_LOGGED: usize = 32;
+
 impl EventLoop {
     pub(super) fn group_events(&mut self, events: Vec<GroupEvent>) {
         for event in events {
@@ -70,8 +73,13 @@
     fn list(&mut self, list: &HostList, stale: bool) {
         let mut events = Vec::new();
         let mut listed = BTreeSet::new();
+        // A line for each of thousands would hold the process up, and push what matters out of the log.
+        let level = if list.hosts.len() > HOSTS_LOGGED { log::Level::Debug } else { log::Level::Info };
+        if level == log::Level::Debug {
+            log::info!("upstream group: version {}: {} hosts", list.seq, list.hosts.len());
+        }
         for host in &list.hosts {
-            listed.insert(self.listed_host(host, &mut events));
+            listed.insert(self.listed_host(host, level, &mut events));
         }
         if list.whole {
             for server in self.peers.listed().into_iter().filter(|s| !listed.contains(s)) {
@@ -84,7 +92,7 @@
     }
 
     /// Tells the pools what is said of one host.
-    fn listed_host(&mut self, host: &Host, events: &mut Vec<PeerEvent>) -> ServerId {
+    fn listed_host(&mut self, host: &Host, level: log::Level, events: &mut Vec<PeerEvent>) -> ServerId {
         let server = server_id(&host.host);
         let phase = phase(&host.health);
         if known_phase(&host.health).is_none() {
@@ -95,7 +103,7 @@
             Ok(address) => {
                 if self.peers.set_address(server, address, events, &mut self.counters) {
                     // The module's log lines name servers by their numbers only.
-                    log::info!("upstream group: {} is server {}, at {address}", host.host, server.0);
+                    log::log!(level, "upstream group: {} is server {}, at {address}", host.host, server.0);
                 }
             }
             Err(_) => {
--- a/crates/pipitrun/src/event_loop/tests.rs
+++ b/crates/pipitrun/src/event_loop/tests.rs
@@ -223,6 +223,48 @@
 const SECOND: Source = Source::Peer(1);
 const CLIENT: Source = Source::Client(0);
 
+#[rstest]
+fn who_leaves_in_the_turn_in_which_the_connection_comes_up_is_not_sent_on(
+    #[values([FIRST, CLIENT], [CLIENT, FIRST])] order: [Source; 2],
+    #[values("read", "put", "once")] class: &str,
+) {
+    let mut s = Stage::set(GIVEN);
+    s.ask(class, 50_000);
+    let mut cache = s.accept(0);
+    drop(s.clients.pop());
+    s.turn(&order);
+    assert_eq!(rest(&mut cache), "");
+}
+
+#[test]
+fn what_the_module_wants_sent_by_a_look_long_ago_waits_for_the_next_which_finds_the_drain() {
+    let mut s = Stage::set(GIVEN);
+    s.ask("read", 50_000);
+    s.turn(&[FIRST]);
+    let mut cache = s.accept(0);
+    command(&mut cache);
+    cache.write_all(VALUE).unwrap();
+    s.turn(&[FIRST]);
+    s.until(|the| the.counters.list_calls == 1);
+    s.turn(&[Source::Discovery(0)]);
+    // The connection rests until then.
+    std::thread::sleep(Duration::from_millis(12));
+    let client = s.client();
+    s.clients[client].write_all(&write_command(&[b"C.GET", b"a", b"2", b"c=read,d=50000"])).unwrap();
+    let asks = s.wait(Source::Client(client as u64));
+    s.the.looks.prompt(s.the.clock.now());
+    s.the.gather(&mut vec![asks], true);
+    // Held up between the look and the decision; discovery tells of a drain meanwhile.
+    s.the.looks = Looks::start(s.the.clock.now().saturating_sub(1_000 * MS));
+    s.the.settle();
+    assert_eq!((s.the.counters.postponed, s.the.up.len()), (1, 1));
+    let dial = local(&s.caches[0]);
+    let hosts = json!([{"host": "s-0", "dial": dial, "health": "terminating"}]);
+    s.news(&json!({"seq": 8, "hosts": hosts}).to_string());
+    s.turn(&[Source::Discovery(0)]);
+    assert_eq!(rest(&mut cache), "", "the connection that the attempt had is closed unused");
+}
+
 #[rstest]
 fn who_left_while_the_connection_was_late_is_not_sent_on(
     #[values(true, false)] cancel: bool,
--- a/crates/pipitrun/src/upstream_group/tests.rs
+++ b/crates/pipitrun/src/upstream_group/tests.rs
@@ -201,3 +201,52 @@
         assert_eq!((watch.counters.list_silent, watch.counters.list_silent_ms), (1, given_up / MS));
     }
 }
+
+#[test]
+fn a_long_list_comes_in_parts_and_its_version_is_known_once_it_is_over() {
+    let hosts = |range: std::ops::Range<usize>| {
+        let hosts: Vec<_> = range.map(|n| serde_json::json!({"host": format!("s-{n:04}")})).collect();
+        serde_json::Value::from(hosts)
+    };
+    let whole = |seq: u64, hosts| serde_json::json!({"seq": seq, "whole": true, "hosts": hosts}).to_string();
+    let mut group = UpstreamGroup::new(&Poll::new().unwrap(), "127.0.0.1:1".parse().unwrap(), None);
+    let mut counters = Counters::default();
+    let mut take = |group: &mut UpstreamGroup, most| match group.take(most, &mut counters) {
+        Some(GroupEvent::News(part)) => (part.hosts.len(), part.is_last),
+        other => panic!("{other:?}"),
+    };
+    group.pending.push_back(Message::read(whole(4, hosts(0..300)).into_bytes()).unwrap());
+    assert_eq!(take(&mut group, 100), (300, true), "the first list comes in one go");
+    group.pending.push_back(Message::read(whole(5, hosts(150..400)).into_bytes()).unwrap());
+    assert!(group.is_behind());
+    assert_eq!([take(&mut group, 100), take(&mut group, 100)], [(100, false), (100, false)]);
+    assert_eq!(group.seq(), Some(4));
+    // The last fifty, and the first half of those that it does not name.
+    assert_eq!(take(&mut group, 100), (100, false));
+    assert_eq!(take(&mut group, 100), (100, true));
+    assert_eq!((group.seq(), group.hosts.len(), group.is_behind()), (Some(5), 250, false));
+    assert!(group.hosts.keys().cloned().eq((150..400).map(|n| format!("s-{n:04}"))));
+}
+
+#[test]
+fn each_byte_of_a_message_is_looked_at_once_and_what_is_no_message_is_named() {
+    let text = br#" {"a":"}\"{","b":[{"c":{}}]}{"d":1}"#;
+    let over = text.len() - br#"{"d":1}"#.len();
+    let mut scanner = MessageScanner::default();
+    for end in 1..over {
+        assert_eq!(scanner.next(&text[..end]), Ok(None), "{end}");
+    }
+    assert_eq!(scanner.next(&text[..]), Ok(Some(1..over)));
+    let mut scanner = MessageScanner::default();
+    assert_eq!(scanner.next(b"  [1]"), Err("line of the list: begins with \"[\"".into()));
+}
+
+#[test]
+fn a_host_that_makes_no_sense_ends_the_watch_and_is_named() {
+    let text = r#"{"seq":4,"hosts":[{"host":"a"},{"host":"b","share":"x"}]}"#;
+    let mut message = Message::read(text.as_bytes().to_vec()).unwrap();
+    let listed = BTreeMap::new();
+    assert_eq!(message.take(1, &listed).unwrap().hosts.len(), 1);
+    let problem = message.take(1, &listed).unwrap_err();
+    assert!(problem.starts_with("line of the list: hosts[1].share: "), "{problem}");
+}
--- a/crates/trials/src/ground.rs
+++ b/crates/trials/src/ground.rs
@@ -102,14 +102,14 @@
 }
 
 /// A loopback network that no other trial on this machine uses while this lives: 127.A.B.0/24.
-struct Network {
+pub(crate) struct Network {
     a: u8,
     b: u8,
     _lock: TcpListener,
 }
 
 impl Network {
-    fn take() -> io::Result<Self> {
+    pub(crate) fn take() -> io::Result<Self> {
         static TAKEN: AtomicU32 = AtomicU32::new(0);
         let begin = std::process::id().wrapping_mul(7).wrapping_add(TAKEN.fetch_add(1, Ordering::Relaxed));
         for step in 0..1_000 {
@@ -126,7 +126,7 @@
         SocketAddr::from(([127, self.a, self.b, last as u8], port))
     }
 
-    fn member(&self, n: usize, port: u16) -> SocketAddr {
+    pub(crate) fn member(&self, n: usize, port: u16) -> SocketAddr {
         self.at(n + 1, port)
     }
 
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod scenarios;
 pub mod silence;
 pub mod slopes;
+pub mod soak;
 pub mod stand_ins;
 pub mod switch;
 pub mod timeline;
--- a/crates/trials/src/main.rs
+++ b/crates/trials/src/main.rs
@@ -5,7 +5,7 @@
 use pipitrun_trials::ground::Plan;
 use pipitrun_trials::play::{Report, play};
 use pipitrun_trials::{
-    chart, decisions, hollow, mutations, scenarios, silence, slopes, virtual_overload, virtual_regions,
+    chart, decisions, hollow, mutations, scenarios, silence, slopes, soak, virtual_overload, virtual_regions,
     virtual_trials,
 };
 use std::path::{Path, PathBuf};
@@ -215,6 +215,11 @@
         #[arg(long)]
         program: Option<PathBuf>,
     },
+    /// Real balancers between caches, a discovery and clients that go wrong as a seed draws it; a referee holds what all saw
+    /// against the rules. The last line is the verdict.
+    Soak(soak::command::Arguments),
+    /// What one balancer needs of the same day with few caches and with many, beside what it may need.
+    Growth(soak::growth::Arguments),
     /// The greatest sum of shares through splits in virtual time, by the rule and without it.
     Shares {
         /// Members.
@@ -339,6 +344,8 @@
                 Ok(ExitCode::SUCCESS)
             })
         }
+        Command::Growth(arguments) => soak::growth::run(&arguments),
+        Command::Soak(arguments) => soak::command::run(&arguments),
         Command::Slopes { out, caches, one_region, in_regions, hollow, regions, add } => {
             let sizes = slopes::Sizes { caches, one_region, in_regions, hollow, regions };
             measure_slopes(&out, &sizes, &add, &interrupted)
--- /dev/null
+++ b/crates/trials/src/soak/clients.rs
@@ -0,0 +1,317 @@
+//! The clients of a soak: requests in an open loop to all balancers, by one thread; some leave, some send many at once,
+//! some write slowly, some stop in the middle.
+
+use super::balancers::{Board, Doors};
+use super::records::{Asked, Effect, End, MS, Time};
+use super::sockets::{Clock, Connection, State, readable};
+use crate::stand_ins::resp::{self, Answer, write_command};
+use rand::{RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+/// Keys that are asked for.
+const KEYS: u64 = 400;
+/// How long beyond its time an answer is waited for.
+const NEVER: Time = 4_000 * MS;
+/// After a request to end new connections are made for so long.
+const NEW_CONNECTIONS: Time = 300 * MS;
+/// The second half of a command that is written slowly comes so much later.
+const SLOW: Time = 60 * MS;
+
+/// How clients behave; shares are of requests.
+#[derive(Clone, Debug)]
+pub struct Manners {
+    /// Requests a second at each balancer.
+    pub per_s: f64,
+    /// How long clients wait, by [`Effect::CLASSES`].
+    pub patience: [Time; 3],
+    /// They close before their answer.
+    pub leave: f64,
+    /// Several are sent at once on a connection.
+    pub pipeline: f64,
+    /// The command comes in two parts.
+    pub slow: f64,
+    /// Half a command comes, and no more.
+    pub half: f64,
+}
+
+/// All clients at work.
+pub struct Clients {
+    end: Arc<AtomicBool>,
+    thread: JoinHandle<Vec<Asked>>,
+}
+
+struct Client {
+    balancer: usize,
+    life: usize,
+    connection: Connection,
+    /// Requests whose answers are to come, by their places.
+    open: VecDeque<usize>,
+    leaves: Option<Time>,
+    /// What is left of a command, when it comes, and whose it is.
+    rest: Option<(Time, Vec<u8>, usize)>,
+}
+
+struct Work {
+    clock: Clock,
+    board: Board,
+    doors: Vec<SocketAddr>,
+    manners: Manners,
+    rng: Xoshiro256PlusPlus,
+    clients: BTreeMap<u64, Client>,
+    next_client: u64,
+    next_at: Vec<Time>,
+    asked: Vec<Asked>,
+    /// The key of each request.
+    keys: Vec<u64>,
+}
+
+impl Clients {
+    /// Starts them.
+    pub fn start(doors: Vec<SocketAddr>, manners: Manners, board: Board, clock: Clock, seed: u64) -> Self {
+        let end = Arc::new(AtomicBool::new(false));
+        let next_at = vec![0; doors.len()];
+        let mut work = Work {
+            clock,
+            board,
+            doors,
+            manners,
+            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+            clients: BTreeMap::new(),
+            next_client: 0,
+            next_at,
+            asked: Vec::new(),
+            keys: Vec::new(),
+        };
+        let ending = Arc::clone(&end);
+        let thread = std::thread::spawn(move || {
+            while !ending.load(Ordering::Relaxed) && work.turn(true).is_ok() {}
+            // What was asked is waited for.
+            while work.clients.values().any(|client| !client.open.is_empty()) && work.turn(false).is_ok() {}
+            work.asked
+        });
+        Clients { end, thread }
+    }
+
+    /// Asks no more, waits for what is open, and tells all that was asked.
+    pub fn stop(self) -> Vec<Asked> {
+        self.end.store(true, Ordering::Relaxed);
+        self.thread.join().unwrap_or_default()
+    }
+}
+
+impl Work {
+    fn turn(&mut self, ask: bool) -> io::Result<()> {
+        let before = self.clock.now();
+        let ready = readable(self.clients.values().map(|client| client.connection.fd()))?;
+        let numbers: Vec<u64> = self.clients.keys().copied().collect();
+        for (number, _) in numbers.iter().zip(ready).filter(|(_, ready)| *ready) {
+            self.read(*number, before);
+        }
+        for number in numbers {
+            self.go_on(number);
+        }
+        if ask {
+            (0..self.doors.len()).for_each(|balancer| self.ask_when_due(balancer));
+        }
+        Ok(())
+    }
+
+    fn read(&mut self, number: u64, before: Time) {
+        let Some(client) = self.clients.get_mut(&number) else { return };
+        let state = client.connection.read();
+        loop {
+            let mut input = client.connection.input.as_slice();
+            let held = input.len();
+            let Ok(answer) = resp::answer(&mut input) else { break };
+            let used = held - input.len();
+            client.connection.input.drain(..used);
+            let Some(request) = client.open.pop_front() else { continue };
+            let end = judge(&answer, self.keys[request], &self.asked[request]);
+            (self.asked[request].end, self.asked[request].ended) = (end, before);
+            if let Some(next) = client.open.front() {
+                self.asked[*next].behind = self.clock.now();
+            }
+        }
+        if state == State::Open {
+            return;
+        }
+        let Some(client) = self.clients.remove(&number) else { return };
+        for request in client.open {
+            let end = if state == State::Ended { End::Closed } else { End::Reset };
+            (self.asked[request].end, self.asked[request].ended) = (end, before);
+        }
+        client.connection.close();
+    }
+
+    /// What a client does by time: writes the rest, leaves, gives up.
+    fn go_on(&mut self, number: u64) {
+        let now = self.clock.now();
+        let Some(client) = self.clients.get_mut(&number) else { return };
+        client.connection.flush();
+        if let Some((at, bytes, request)) = client.rest.take() {
+            if now < at {
+                client.rest = Some((at, bytes, request));
+            } else {
+                client.connection.write(&bytes);
+                self.asked[request].sent = self.clock.now();
+            }
+        }
+        let last = client.open.back().map(|request| &self.asked[*request]);
+        let never = last.is_some_and(|asked| now > asked.deadline() + NEVER);
+        let leaves = client.leaves.is_some_and(|at| now >= at);
+        if !never && !leaves {
+            return;
+        }
+        let Some(client) = self.clients.remove(&number) else { return };
+        client.connection.close();
+        let closed = self.clock.now();
+        for request in client.open {
+            let asked = &mut self.asked[request];
+            (asked.end, asked.ended) = (if leaves { End::Left } else { End::Never }, closed);
+            asked.closed = Some(closed);
+        }
+    }
+
+    fn ask_when_due(&mut self, balancer: usize) {
+        let now = self.clock.now();
+        let due = self.next_at[balancer];
+        if now < due {
+            return;
+        }
+        let gap = -(1.0 - self.rng.random::<f64>()).ln() / self.manners.per_s;
+        self.next_at[balancer] = now.min(due + 50 * MS).max(due) + (gap * 1e9) as Time;
+        let (doors, life, asked_to_end) = {
+            let board = self.board.lock();
+            let me = &board[balancer];
+            let asked_to_end = me.lives.last().and_then(|life| life.asked_to_end);
+            (me.doors, me.lives.len(), asked_to_end)
+        };
+        let may_connect = match doors {
+            Doors::Shut => return,
+            Doors::Open => true,
+            Doors::Ending => asked_to_end.is_some_and(|at| now < at + NEW_CONNECTIONS),
+        };
+        let idle = |c: &Client| {
+            c.balancer == balancer && c.open.is_empty() && c.rest.is_none() && c.leaves.is_none()
+        };
+        let found = self.clients.iter().find(|(_, client)| idle(client)).map(|(number, _)| *number);
+        let number = match found {
+            Some(number) => number,
+            None if may_connect => match self.connect(balancer, life) {
+                Some(number) => number,
+                None => return,
+            },
+            None => return,
+        };
+        self.ask(number);
+    }
+
+    fn connect(&mut self, balancer: usize, life: usize) -> Option<u64> {
+        let stream = TcpStream::connect_timeout(&self.doors[balancer], Duration::from_millis(20)).ok()?;
+        let connection = Connection::new(stream).ok()?;
+        let client = Client { balancer, life, connection, open: VecDeque::new(), leaves: None, rest: None };
+        self.clients.insert(self.next_client, client);
+        self.next_client += 1;
+        Some(self.next_client - 1)
+    }
+
+    fn ask(&mut self, number: u64) {
+        let draw = self.rng.random::<f64>();
+        let Manners { leave, pipeline, slow, half, .. } = self.manners;
+        let commands = if draw < pipeline { self.rng.random_range(2..12) } else { 1 };
+        let draw = if draw < pipeline { 1.0 } else { draw - pipeline };
+        for _ in 0..commands {
+            let (command, request) = self.command(number);
+            let Some(client) = self.clients.get_mut(&number) else { return };
+            if draw < half {
+                // It never asks: what becomes of its connection is no request's end.
+                client.connection.write(&command[..command.len() / 2]);
+                client.leaves = Some(self.clock.now() + 6_000 * MS);
+                self.asked.pop();
+                self.keys.pop();
+                return;
+            }
+            client.open.push_back(request);
+            if draw < half + slow {
+                let at = command.len() / 2;
+                client.connection.write(&command[..at]);
+                client.rest = Some((self.clock.now() + SLOW, command[at..].to_vec(), request));
+                return;
+            }
+            client.connection.write(&command);
+            self.asked[request].sent = self.clock.now();
+        }
+        if commands == 1 && draw < half + slow + leave {
+            let patience = self.asked.last().map_or(0, |asked| asked.patience);
+            let after = self.rng.random_range(0..patience.clamp(2, 400 * MS));
+            if let Some(client) = self.clients.get_mut(&number) {
+                client.leaves = Some(self.clock.now() + after);
+            }
+        }
+    }
+
+    fn command(&mut self, number: u64) -> (Vec<u8>, usize) {
+        let client = &self.clients[&number];
+        let effect = match self.rng.random_range(0..20) {
+            0..14 => Effect::Safe,
+            14..17 => Effect::Keyed,
+            _ => Effect::Unsafe,
+        };
+        let request = self.asked.len();
+        let id = format!("b{}r{request:x}", client.balancer);
+        let key = self.rng.random_range(0..KEYS);
+        let patience = self.manners.patience[effect as usize];
+        let mut fields = format!("c={},d={}", effect.class(), patience / MS);
+        if effect == Effect::Keyed {
+            fields.push_str(&format!(",k={request:x}"));
+        }
+        let text = format!("{key:016x}");
+        let mut words: Vec<&[u8]> = vec![b"C.GET", text.as_bytes(), id.as_bytes(), fields.as_bytes()];
+        if effect != Effect::Safe {
+            words[0] = b"C.SET";
+            words.push(b"value");
+        }
+        let bytes = write_command(&words);
+        let (balancer, life) = (client.balancer, client.life - 1);
+        let sent = self.clock.now();
+        self.asked.push(Asked {
+            id,
+            balancer,
+            life,
+            effect,
+            sent,
+            behind: 0,
+            patience,
+            closed: None,
+            end: End::Never,
+            ended: 0,
+        });
+        self.keys.push(key);
+        (bytes, request)
+    }
+}
+
+fn judge(answer: &Answer, key: u64, asked: &Asked) -> End {
+    let value = match answer {
+        Answer::Bulk(Some(value)) => value,
+        Answer::Array(parts) => match parts.first() {
+            Some(Answer::Bulk(Some(value))) => value,
+            _ => return End::Failed,
+        },
+        Answer::Error(text) if text == "BUSY" || text.starts_with("BUSY ") => return End::Refused,
+        _ => return End::Failed,
+    };
+    let made = if asked.effect == Effect::Safe {
+        format!("value {key:016x}")
+    } else {
+        format!("receipt {}", asked.id)
+    };
+    if *value == made.into_bytes() { End::Served } else { End::Wrong }
+}
--- /dev/null
+++ b/crates/trials/src/soak/discovery.rs
@@ -0,0 +1,253 @@
+//! Discovery for a soak: one list, told to each balancer at doors of its own, with faults.
+
+use super::records::{CacheState, Change, Span, Time, Told};
+use super::sockets::Clock;
+use crate::stand_ins::Door;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// How often a watch looks for changes.
+const LOOK: Duration = Duration::from_millis(4);
+/// An empty line comes behind so many looks without a change: every 2 s.
+const LOOKS_EMPTY: u32 = 500;
+/// The longest head of a call.
+const HEAD_MAX: usize = 8 * 1024;
+/// A torn message comes in parts of this size, this far from each other.
+const TORN: (usize, Duration) = (1_500, Duration::from_millis(2));
+
+/// What is wrong with discovery now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Trouble {
+    /// Nothing.
+    #[default]
+    None,
+    /// Calls are reset, and watches have ended.
+    Down,
+    /// Watches stay open and say nothing; new ones work.
+    Silent {
+        /// The watches that are silent are those begun before this one.
+        before: u64,
+    },
+    /// Calls wait in turn for so many milliseconds.
+    Crowded(u64),
+}
+
+/// How messages are written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Form {
+    /// One to a line.
+    #[default]
+    Line,
+    /// Over many lines.
+    Indented,
+    /// In parts with pauses between.
+    Torn,
+}
+
+#[derive(Default)]
+struct State {
+    version: u64,
+    caches: BTreeMap<usize, CacheState>,
+    changes: Vec<Change>,
+    told: Vec<Told>,
+    down: Vec<Span>,
+    trouble: Trouble,
+    form: Form,
+    watches: u64,
+    /// Bytes of changes that were written.
+    change_bytes: u64,
+}
+
+/// The list, and what was told of it.
+#[derive(Clone)]
+pub struct List {
+    state: Arc<Mutex<State>>,
+    clock: Clock,
+    /// The listener of each cache, by its number.
+    dials: Arc<dyn Fn(usize) -> SocketAddr + Send + Sync>,
+}
+
+/// What discovery did.
+pub type Log = (Vec<Change>, Vec<Told>, Vec<Span>);
+
+impl List {
+    /// An empty one.
+    pub fn new(clock: Clock, dials: impl Fn(usize) -> SocketAddr + Send + Sync + 'static) -> Self {
+        List { state: Arc::default(), clock, dials: Arc::new(dials) }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// These caches are so from now on.
+    pub fn change(&self, caches: Vec<usize>, to: CacheState) {
+        let mut state = self.lock();
+        state.version += 1;
+        for cache in &caches {
+            if to == CacheState::Gone {
+                state.caches.remove(cache);
+            } else {
+                state.caches.insert(*cache, to);
+            }
+        }
+        let change = Change { version: state.version, at: self.clock.now(), caches, state: to };
+        state.changes.push(change);
+    }
+
+    /// What is wrong from now on.
+    pub fn trouble(&self, trouble: Trouble) {
+        let mut state = self.lock();
+        let now = self.clock.now();
+        if trouble == Trouble::Down && state.trouble != Trouble::Down {
+            state.down.push(Span { from: now, to: Time::MAX });
+        }
+        if trouble != Trouble::Down
+            && let Some(span) = state.down.last_mut().filter(|span| span.to == Time::MAX)
+        {
+            span.to = now;
+        }
+        state.trouble = trouble;
+    }
+
+    /// All watches that are open fall silent.
+    pub fn silence(&self) {
+        let before = self.lock().watches;
+        self.trouble(Trouble::Silent { before });
+    }
+
+    /// How messages are written from now on.
+    pub fn form(&self, form: Form) {
+        self.lock().form = form;
+    }
+
+    /// What was done.
+    pub fn log(&self) -> Log {
+        let state = self.lock();
+        (state.changes.clone(), state.told.clone(), state.down.clone())
+    }
+
+    /// Bytes of changes that were written so far, to all balancers.
+    pub fn change_bytes(&self) -> u64 {
+        self.lock().change_bytes
+    }
+
+    fn host(&self, cache: usize, state: Option<&CacheState>) -> Value {
+        let (health, born_ms) = match state {
+            Some(CacheState::Up { born_ms }) => ("in_service", *born_ms),
+            Some(CacheState::Draining) => ("terminating", 0),
+            Some(CacheState::Gone) | None => ("terminated", 0),
+        };
+        json!({"host": format!("s-{cache:05}"), "dial": (self.dials)(cache).to_string(), "site": "a", "class": "m",
+            "block": 1, "health": health, "share": 1.0, "born_ms": born_ms})
+    }
+
+    /// What is new since a version: the whole list, or the changes.
+    fn message(&self, since: Option<u64>) -> Option<(u64, Value)> {
+        let state = self.lock();
+        let version = state.version;
+        let hosts: Vec<Value> = match since {
+            Some(since) if since >= version => return None,
+            Some(since) => {
+                let changes = state.changes.iter().filter(|change| change.version > since);
+                let caches: std::collections::BTreeSet<usize> =
+                    changes.flat_map(|c| c.caches.clone()).collect();
+                caches.into_iter().map(|cache| self.host(cache, state.caches.get(&cache))).collect()
+            }
+            None => state.caches.iter().map(|(cache, state)| self.host(*cache, Some(state))).collect(),
+        };
+        Some((version, json!({"seq": version, "whole": since.is_none(), "hosts": hosts})))
+    }
+
+    /// The whole list as a balancer's configuration has it.
+    pub fn known(&self) -> Value {
+        self.message(None).map(|(_, list)| list).unwrap_or_default()
+    }
+
+    /// A door for one balancer.
+    ///
+    /// # Errors
+    ///
+    /// If the address is taken.
+    pub fn door(&self, address: SocketAddr, balancer: usize) -> io::Result<Door> {
+        let list = self.clone();
+        Door::open(address, move |stream| list.serve(stream, balancer))
+    }
+
+    fn serve(&self, mut stream: TcpStream, balancer: usize) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        if self.lock().trouble == Trouble::Down {
+            return Ok(());
+        }
+        let head = read_head(&mut stream)?;
+        let crowded = match self.lock().trouble {
+            Trouble::Crowded(ms) => ms,
+            _ => 0,
+        };
+        std::thread::sleep(Duration::from_millis(crowded));
+        let number = {
+            let mut state = self.lock();
+            state.watches += 1;
+            state.watches - 1
+        };
+        let mut since =
+            head.split_once("since=").and_then(|(_, rest)| rest.split([' ', '&']).next()?.parse().ok());
+        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n")?;
+        let mut empty = LOOKS_EMPTY;
+        loop {
+            let trouble = self.lock().trouble;
+            match trouble {
+                Trouble::Down => return Ok(()),
+                Trouble::Silent { before } if number < before => {}
+                _ => match self.message(since) {
+                    Some((version, message)) => {
+                        self.write(&mut stream, &message)?;
+                        (since, empty) = (Some(version), 0);
+                        let at = self.clock.now();
+                        self.lock().told.push(Told { balancer, version, at });
+                    }
+                    None if empty >= LOOKS_EMPTY => {
+                        stream.write_all(b"\n")?;
+                        empty = 0;
+                    }
+                    None => empty += 1,
+                },
+            }
+            std::thread::sleep(LOOK);
+        }
+    }
+
+    fn write(&self, stream: &mut TcpStream, message: &Value) -> io::Result<()> {
+        let form = self.lock().form;
+        let mut text = match form {
+            Form::Indented => serde_json::to_string_pretty(message)?,
+            Form::Line | Form::Torn => message.to_string(),
+        };
+        text.push('\n');
+        if message["whole"] == false {
+            self.lock().change_bytes += text.len() as u64;
+        }
+        if form != Form::Torn {
+            return stream.write_all(text.as_bytes());
+        }
+        for part in text.as_bytes().chunks(TORN.0.max(text.len() / 20)) {
+            stream.write_all(part)?;
+            std::thread::sleep(TORN.1);
+        }
+        Ok(())
+    }
+}
+
+fn read_head(stream: &mut TcpStream) -> io::Result<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") && head.len() < HEAD_MAX {
+        let mut byte = [0];
+        stream.read_exact(&mut byte)?;
+        head.push(byte[0]);
+    }
+    Ok(String::from_utf8_lossy(&head).into_owned())
+}
--- /dev/null
+++ b/crates/trials/src/soak/draw.rs
@@ -0,0 +1,237 @@
+//! What a seed draws: settings, sizes, manners of clients, and a timeline of faults.
+
+use super::clients::Manners;
+use super::records::{MS, Time};
+use rand::{Rng, RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use serde_json::{Value, json};
+
+/// Listeners that many caches share.
+pub const SHARED_LISTENERS: usize = 16;
+/// The most caches that have a listener of their own.
+const OWN_MOST: usize = 60;
+/// How long a soak of one seed takes.
+pub const LENGTH: Time = 9_000 * MS;
+/// How long a day of [`growth`] takes, and how many balancers its settings tell of.
+const GROWTH_LENGTH: Time = 20_000 * MS;
+const GROWTH_BALANCERS: usize = 300;
+/// Work that a cache of mean size does, over its part of all requests.
+const SPARE: f64 = 3.0;
+
+/// What the referee has to know of the settings.
+#[derive(Clone, Debug)]
+pub struct Rules {
+    /// The grace of a drain.
+    pub grace: Time,
+    /// The window of keyed writes.
+    pub window: Time,
+    /// The share of its capacity at which a cache starts.
+    pub cold_from: f64,
+    /// It is warm after this.
+    pub warm_after: Time,
+    /// It falls by more than this multiple ...
+    pub overload_factor: f64,
+    /// ... for this long.
+    pub tip_after: Time,
+    /// What a cache can do, requests a second.
+    pub capacity: f64,
+    /// Caches with smaller numbers have a listener of their own: they alone are judged one by one.
+    pub own_listeners: usize,
+    /// A process has to be ready within this.
+    pub ready_within: Time,
+    /// When the soak ends.
+    pub length: Time,
+}
+
+impl Rules {
+    /// The most requests that a cache may get in a window, at this age as a part of its warm-up.
+    pub fn allowed(&self, age: f64) -> f64 {
+        let ramp = self.cold_from + (1.0 - self.cold_from) * age.clamp(0.0, 1.0);
+        let mean = self.overload_factor * self.capacity * ramp * self.tip_after as f64 / 1e9;
+        let (times, plus) = if mean < 30.0 { (3.0, 3.0) } else { (2.0, 2.0) };
+        mean + times * mean.sqrt() + plus
+    }
+}
+
+/// Something that happens.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// So many caches are new, long at work.
+    Joins(usize),
+    /// So many of the oldest caches drain, are gone soon, and as many new ones come.
+    Replaced(usize),
+    /// The first of the caches that have listeners of their own drain, and are gone after the second time.
+    Drains(usize, Time),
+    /// So many of the same come, or come back, cold.
+    Cold(usize),
+    /// They hang for so long.
+    Hangs(usize, Time),
+    /// They are down for so long, and nobody is told.
+    CachesDown(usize, Time),
+    /// Answers go wrong for so long.
+    Spoilt(Time),
+    /// All open watches fall silent.
+    Silence,
+    /// All watches are reset.
+    WatchesReset,
+    /// Discovery is down for so long.
+    DiscoveryDown(Time),
+    /// Calls of discovery wait in turn.
+    DiscoveryCrowded(Time),
+    /// A balancer is asked to end, killed as early as may be, and started anew.
+    Restart(usize),
+    /// A balancer is killed and started anew.
+    Kill(usize),
+    /// A balancer reads a new configuration, by which discovery is elsewhere.
+    Reload(usize),
+    /// A balancer stands still for so long.
+    HoldUp(usize, Time),
+    /// A balancer has only this part of its time, in hundredths, for so long.
+    Share(usize, u64, Time),
+}
+
+/// What one seed plays.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The seed.
+    pub seed: u64,
+    /// Balancers.
+    pub balancers: usize,
+    /// Caches at the beginning.
+    pub caches: usize,
+    /// The settings of all balancers.
+    pub settings: Value,
+    /// What the referee has to know of them.
+    pub rules: Rules,
+    /// How clients behave.
+    pub manners: Manners,
+    /// Lists come indented or torn.
+    pub form: super::discovery::Form,
+    /// What happens, by time.
+    pub events: Vec<(Time, Event)>,
+}
+
+fn pick<T: Copy>(rng: &mut impl Rng, of: &[T]) -> T {
+    of[rng.random_range(0..of.len())]
+}
+
+/// What this seed plays, in a small way if `short`.
+pub fn draw(seed: u64, short: bool) -> Plan {
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+    let balancers = if short { rng.random_range(2..5) } else { pick(&mut rng, &[2, 3, 5, 8, 16, 40]) };
+    let caches =
+        pick(&mut rng, if short { &[10, 60, 400, 3_200] } else { &[10, 40, 200, 800, 1_300, 3_200] });
+    let per_s = if balancers > 8 { 8.0 } else { pick(&mut rng, &[15.0, 30.0, 60.0]) };
+    let patience = |rng: &mut Xoshiro256PlusPlus, of: &[u64]| pick(rng, of) * MS;
+    let patience = [
+        patience(&mut rng, &[150, 284, 600, 1_200]),
+        patience(&mut rng, &[300, 600, 1_000]),
+        patience(&mut rng, &[400, 1_000, 2_500]),
+    ];
+    let capacity = SPARE * per_s * balancers as f64 / caches as f64;
+    let rules = Rules {
+        grace: pick(&mut rng, &[400, 500, 1_000, 2_500]) * MS,
+        window: pick(&mut rng, &[250, 600, 2_000]) * MS,
+        cold_from: pick(&mut rng, &[0.05, 0.12, 0.3]),
+        warm_after: pick(&mut rng, &[4_000, 10_000, 23_000]) * MS,
+        overload_factor: pick(&mut rng, &[1.5, 2.5]),
+        tip_after: pick(&mut rng, &[1_000, 2_000]) * MS,
+        capacity,
+        own_listeners: OWN_MOST.min(caches / 2),
+        ready_within: 6_000 * MS,
+        length: LENGTH,
+    };
+    let settings = settings(&mut rng, balancers, &patience, &rules);
+    let share = |rng: &mut Xoshiro256PlusPlus| pick(rng, &[0.0, 0.03, 0.1]);
+    let manners = Manners {
+        per_s,
+        patience,
+        leave: pick(&mut rng, &[0.05, 0.15, 0.3]),
+        pipeline: share(&mut rng) / 3.0,
+        slow: share(&mut rng),
+        half: share(&mut rng) / 5.0,
+    };
+    use super::discovery::Form;
+    let form = pick(&mut rng, &[Form::Line, Form::Line, Form::Indented, Form::Torn]);
+    let count = rng.random_range(4..9);
+    let times = |rng: &mut Xoshiro256PlusPlus| rng.random_range(1_000..LENGTH / MS - 2_500) * MS;
+    let mut events: Vec<(Time, Event)> =
+        (0..count).map(|_| (times(&mut rng), event(&mut rng, balancers, caches))).collect();
+    // Each seed has a shutdown and a hold-up, whatever else.
+    let held_up = Event::HoldUp(rng.random_range(0..balancers), rng.random_range(150..1_500) * MS);
+    events.push((times(&mut rng), held_up));
+    events.push((times(&mut rng), Event::Restart(rng.random_range(0..balancers))));
+    events.sort_by_key(|(at, _)| *at);
+    Plan { seed, balancers, caches, settings, rules, manners, form, events }
+}
+
+/// The same day for one balancer at any number of caches: the same traffic and the same capacity of all caches together; a
+/// tenth of the caches is replaced twice, and a batch of a quarter comes.
+pub fn growth(seed: u64, caches: usize, per_s: f64) -> Plan {
+    let mut plan = draw(seed, true);
+    plan.balancers = 1;
+    plan.caches = caches;
+    plan.form = super::discovery::Form::Line;
+    plan.manners = Manners { per_s, leave: 0.0, pipeline: 0.0, slow: 0.0, half: 0.0, ..plan.manners };
+    plan.manners.patience = [600 * MS, 1_000 * MS, 2_500 * MS];
+    plan.rules.own_listeners = 0;
+    plan.rules.length = GROWTH_LENGTH;
+    plan.settings["group_size"] = json!(GROWTH_BALANCERS);
+    let tenth = caches / 10;
+    let at = |s: u64| s * 1_000 * MS;
+    plan.events = vec![
+        (at(3), Event::Replaced(tenth)),
+        (at(6), Event::Replaced(tenth)),
+        (at(9), Event::Joins(caches / 4)),
+    ];
+    plan
+}
+
+fn event(rng: &mut impl Rng, balancers: usize, caches: usize) -> Event {
+    let one = rng.random_range(0..balancers);
+    let own = OWN_MOST.min(caches / 2);
+    let some = rng.random_range(1..own.max(2));
+    let span = |rng: &mut dyn FnMut(std::ops::Range<u64>) -> u64, of: std::ops::Range<u64>| rng(of) * MS;
+    let mut draw = |of: std::ops::Range<u64>| rng.random_range(of);
+    match draw(0..18) {
+        0 | 1 => Event::Joins(1 + draw(0..(caches as u64 / 3).max(1)) as usize),
+        2 | 3 => Event::Drains(some, span(&mut draw, 100..2_000)),
+        4 => Event::Cold(some),
+        5 => Event::Hangs(some, span(&mut draw, 300..3_000)),
+        6 => Event::CachesDown(some, span(&mut draw, 300..3_000)),
+        7 => Event::Spoilt(span(&mut draw, 500..3_000)),
+        8 => Event::Silence,
+        9 => Event::WatchesReset,
+        10 => Event::DiscoveryDown(span(&mut draw, 300..3_000)),
+        11 => Event::DiscoveryCrowded(span(&mut draw, 300..3_000)),
+        12 => Event::Restart(one),
+        13 => Event::Kill(one),
+        14 => Event::Reload(one),
+        15 | 16 => Event::HoldUp(one, span(&mut draw, 50..2_000)),
+        _ => Event::Share(one, 8 + draw(0..80), span(&mut draw, 500..3_000)),
+    }
+}
+
+fn settings(rng: &mut impl Rng, balancers: usize, patience: &[Time; 3], rules: &Rules) -> Value {
+    use super::records::Effect;
+    let profiles: Vec<Value> = Effect::CLASSES
+        .iter()
+        .zip(patience)
+        .map(|((_, name, repeat), patience)| {
+            json!({"name": name, "repeat": repeat, "group": "all", "memory_span_ns": rules.window,
+                "goal_time_ns": patience / 2, "give_up_ns": patience, "worth": 1.0 + rng.random::<f64>() * 9.0})
+        })
+        .collect();
+    json!({
+        "areas": ["a"], "machine_types": ["m"], "accounts": [], "over_share_worth": 0.2, "group_size": balancers,
+        "membership_mode": pick(rng, &["subscribe", "automatic"]), "step_ns": pick(rng, &[1, 4, 5]) * MS,
+        "caps": {"max_attempts": pick(rng, &[2, 3, 6]), "second_copies": rng.random::<f64>() < 0.8,
+            "may_cancel": rng.random::<f64>() < 0.8, "may_probe": rng.random::<f64>() < 0.5, "retry_after": true,
+            "max_retry_after_ns": 1_200 * MS, "conn_idle_ns": pick(rng, &[3_000, 30_000]) * MS,
+            "connect_timeout_ns": pick(rng, &[150, 500]) * MS, "max_open": 10_000},
+        "obligations": {"grace_to_answer_ns": 16 * MS, "drain_grace_ns": rules.grace, "must_ask_in_ns": 10_000 * MS,
+            "cold_from": rules.cold_from, "warm_after_ns": rules.warm_after, "overload_factor": rules.overload_factor,
+            "tip_after_ns": rules.tip_after},
+        "profiles": profiles,
+    })
+}
--- /dev/null
+++ b/crates/trials/src/soak/mod.rs
@@ -0,0 +1,426 @@
+//! A soak: real balancers on loopback between caches, a discovery and clients that go wrong as a seed draws it, and a
+//! referee that holds what all of them saw against the rules.
+
+pub mod balancers;
+pub mod caches;
+pub mod clients;
+pub mod command;
+pub mod discovery;
+pub mod draw;
+pub mod growth;
+pub mod records;
+pub mod referee;
+pub mod sockets;
+
+use crate::ground::Network;
+use crate::stand_ins::Door;
+use balancers::{Balancer, Board, Usage};
+use caches::Caches;
+use clients::Clients;
+use discovery::{List, Trouble};
+use draw::{Event, Plan, SHARED_LISTENERS};
+use nix::sys::signal::Signal;
+use records::{CacheState, MS, Records, Time};
+use referee::Breach;
+use sockets::Clock;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// How long processes may take to become ready before the timeline begins.
+const READY_MOST: Duration = Duration::from_secs(30);
+/// Where clients and discovery are at each balancer's address.
+const CLIENTS_PORT: u16 = 6_379;
+const DISCOVERY_PORTS: [u16; 2] = [8_500, 8_501];
+/// How often the timeline and the processes are looked at.
+const LOOK: Duration = Duration::from_millis(3);
+/// Before a shutdown caches hang for this long, so that requests are out.
+const HANG_BEFORE: Time = 100 * MS;
+/// Connections are reset for so long.
+const RESET: Time = 30 * MS;
+/// How often descriptors are counted.
+const SAMPLE: Time = 100 * MS;
+/// The processor share is kept over periods of this length.
+const SHARE_PERIOD: Duration = Duration::from_millis(50);
+/// By the protocol a process is killed no sooner than this and the longest deadline (3 s at most) after the request to end.
+const KILL_AFTER: Time = 700 * MS;
+const DEADLINE_MOST: Time = 3_000 * MS;
+
+/// What one seed showed.
+#[derive(Debug)]
+pub struct Outcome {
+    /// The rules that were broken.
+    pub breaches: Vec<Breach>,
+    /// How many requests ended how.
+    pub ends: BTreeMap<String, usize>,
+    /// Attempts.
+    pub attempts: usize,
+    /// By balancer: what its process had used at the end, with the most descriptors that were seen.
+    pub usage: Vec<Usage>,
+    /// By balancer: the counters of its last life.
+    pub counters: Vec<BTreeMap<String, u64>>,
+    /// Bytes of changes that discovery wrote.
+    pub change_bytes: u64,
+    /// All that was seen.
+    pub records: Records,
+}
+
+/// A balancer that a thread may have standing still.
+type Shared = Arc<Mutex<Balancer>>;
+
+struct World {
+    plan: Plan,
+    clock: Clock,
+    caches: Caches,
+    list: List,
+    board: Board,
+    balancers: Vec<Shared>,
+    /// Two doors of discovery for each balancer, and which it is told of.
+    doors: Vec<[SocketAddr; 2]>,
+    door_now: Vec<usize>,
+    _open: Vec<Door>,
+    _network: Network,
+    next_cache: usize,
+    oldest_cache: usize,
+    /// What a later time brings.
+    later: Vec<(Time, Later)>,
+    threads: Vec<std::thread::JoinHandle<()>>,
+    events: Vec<(Time, String)>,
+    /// By balancer: the most descriptors that were seen.
+    descriptors: Vec<usize>,
+}
+
+enum Later {
+    Gone(Vec<usize>),
+    /// They are down for a moment, so that what is out there is reset long after it came, and then work.
+    Reset(Vec<usize>),
+    Work(Vec<usize>),
+    Whole,
+    Discovery,
+    Term(usize),
+    Kill(usize),
+    Start(usize),
+}
+
+/// Plays a plan with this program; the balancers' logs go to the folder.
+///
+/// # Errors
+///
+/// Says which part of the trial itself failed.
+pub fn play(plan: Plan, program: &Path, folder: &Path) -> Result<Outcome, String> {
+    std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+    let mut world = World::lay_out(plan, program, folder)?;
+    world.start()?;
+    let doors = world.balancers.iter().map(|b| lock(b).listen).collect();
+    let manners = world.plan.manners.clone();
+    let clients = Clients::start(doors, manners, world.board.clone(), world.clock, world.plan.seed);
+    world.run();
+    let asked = clients.stop();
+    world.finish(asked)
+}
+
+fn lock(balancer: &Shared) -> std::sync::MutexGuard<'_, Balancer> {
+    balancer.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl World {
+    fn lay_out(plan: Plan, program: &Path, folder: &Path) -> Result<Self, String> {
+        let clock = Clock::start();
+        let own = plan.rules.own_listeners;
+        let caches =
+            Caches::start(own + SHARED_LISTENERS, clock, plan.seed).map_err(|e| format!("caches: {e}"))?;
+        let addresses = caches.addresses.clone();
+        let dial =
+            move |cache: usize| addresses[if cache < own { cache } else { own + cache % SHARED_LISTENERS }];
+        let list = List::new(clock, dial);
+        list.change((0..plan.caches).collect(), CacheState::Up { born_ms: 0 });
+        list.form(plan.form);
+        let board = Board::new(plan.balancers);
+        let network = Network::take().map_err(|e| format!("a loopback network: {e}"))?;
+        let (mut balancers, mut doors, mut open) = (Vec::new(), Vec::new(), Vec::new());
+        for number in 0..plan.balancers {
+            let pair = DISCOVERY_PORTS.map(|port| network.member(number, port));
+            for door in pair {
+                open.push(list.door(door, number).map_err(|e| format!("discovery at {door}: {e}"))?);
+            }
+            let listen = network.member(number, CLIENTS_PORT);
+            let config = serde_json::json!({
+                "name": format!("n{number}"), "listen": listen, "discovery": pair[0],
+                "seed": format!("{:x}", plan.seed.wrapping_mul(7_919) + number as u64),
+                "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 512}, "settings": plan.settings,
+            });
+            let (program, folder): (PathBuf, PathBuf) = (program.into(), folder.into());
+            let balancer = Balancer::new(number, listen, program, config, folder, clock, board.clone());
+            balancers.push(Arc::new(Mutex::new(balancer)));
+            doors.push(pair);
+        }
+        let next_cache = plan.caches;
+        let door_now = vec![0; plan.balancers];
+        let descriptors = vec![0; plan.balancers];
+        Ok(World {
+            plan,
+            clock,
+            caches,
+            list,
+            board,
+            balancers,
+            doors,
+            door_now,
+            _open: open,
+            _network: network,
+            next_cache,
+            oldest_cache: 0,
+            later: Vec::new(),
+            threads: Vec::new(),
+            events: Vec::new(),
+            descriptors,
+        })
+    }
+
+    fn start(&mut self) -> Result<(), String> {
+        let known = self.list.known();
+        for balancer in &self.balancers {
+            lock(balancer).start(known.clone())?;
+        }
+        let asked = std::time::Instant::now();
+        while self.board.lock().iter().any(|me| me.doors == balancers::Doors::Shut) {
+            if asked.elapsed() > READY_MOST {
+                return Err("the balancers do not become ready".into());
+            }
+            self.look();
+            std::thread::sleep(LOOK);
+        }
+        Ok(())
+    }
+
+    /// Looks at all processes that no thread has standing still.
+    fn look(&self) {
+        for balancer in self.balancers.iter().filter_map(|balancer| balancer.try_lock().ok()) {
+            let mut balancer = balancer;
+            if balancer.is_running() {
+                balancer.look();
+            }
+        }
+    }
+
+    /// Plays the timeline.
+    fn run(&mut self) {
+        let begun = self.clock.now();
+        let mut sample = begun;
+        let mut events = self.plan.events.clone().into_iter().peekable();
+        while self.clock.now() < begun + self.plan.rules.length {
+            let now = self.clock.now();
+            while let Some((_, event)) = events.next_if(|(at, _)| begun + at <= now) {
+                self.events.push((now, format!("{event:?}")));
+                self.happen(event);
+            }
+            let (due, later): (Vec<_>, Vec<_>) = self.later.drain(..).partition(|(at, _)| *at <= now);
+            self.later = later;
+            due.into_iter().for_each(|(_, what)| self.happen_later(what));
+            self.look();
+            if now >= sample {
+                sample = now + SAMPLE;
+                self.count_descriptors();
+            }
+            std::thread::sleep(LOOK);
+        }
+        // Everything is well again, so that what is open can be answered.
+        *self.caches.faults.lock() = caches::CacheFaults::default();
+        self.list.trouble(Trouble::None);
+        self.threads.drain(..).for_each(|thread| _ = thread.join());
+        let later = std::mem::take(&mut self.later);
+        for (at, what) in later {
+            if matches!(what, Later::Kill(_)) {
+                let now = self.clock.now();
+                std::thread::sleep(Duration::from_nanos(at.saturating_sub(now)));
+                self.happen_later(what);
+            }
+        }
+    }
+
+    fn count_descriptors(&mut self) {
+        for (balancer, most) in self.balancers.iter().zip(&mut self.descriptors) {
+            let usage = balancer.try_lock().ok().and_then(|balancer| balancer.usage());
+            *most = usage.map_or(*most, |usage| usage.descriptors.max(*most));
+        }
+    }
+
+    fn own(&self, count: usize) -> Vec<usize> {
+        (0..count.min(self.plan.rules.own_listeners)).collect()
+    }
+
+    fn after(&mut self, span: Time, what: Later) {
+        self.later.push((self.clock.now() + span, what));
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Joins(count) => {
+                let new: Vec<usize> = (self.next_cache..self.next_cache + count).collect();
+                self.next_cache += count;
+                self.list.change(new, CacheState::Up { born_ms: 0 });
+            }
+            Event::Replaced(count) => {
+                let old: Vec<usize> = (self.oldest_cache..self.oldest_cache + count).collect();
+                self.oldest_cache += count;
+                self.list.change(old.clone(), CacheState::Draining);
+                self.after(1_000 * MS, Later::Gone(old));
+                self.happen(Event::Joins(count));
+            }
+            Event::Drains(count, span) => {
+                let caches = self.own(count);
+                self.list.change(caches.clone(), CacheState::Draining);
+                self.after(span, Later::Gone(caches));
+            }
+            Event::Cold(count) => {
+                let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+                let born_ms = born.as_millis() as u64;
+                self.list.change(self.own(count), CacheState::Up { born_ms });
+            }
+            Event::Hangs(count, span) => {
+                let caches = self.own(count);
+                self.caches.faults.lock().hanging.extend(&caches);
+                self.after(span, Later::Reset(caches));
+            }
+            Event::CachesDown(count, span) => {
+                let caches = self.own(count);
+                self.caches.faults.lock().down.extend(&caches);
+                self.after(span, Later::Work(caches));
+            }
+            Event::Spoilt(span) => {
+                let mut faults = self.caches.faults.lock();
+                (faults.busy, faults.error, faults.reset) = (0.1, 0.05, 0.05);
+                (faults.cut, faults.second, faults.close) = (0.03, 0.05, 0.1);
+                drop(faults);
+                self.after(span, Later::Whole);
+            }
+            Event::Silence => self.list.silence(),
+            Event::WatchesReset => {
+                self.list.trouble(Trouble::Down);
+                self.after(30 * MS, Later::Discovery);
+            }
+            Event::DiscoveryDown(span) => {
+                self.list.trouble(Trouble::Down);
+                self.after(span, Later::Discovery);
+            }
+            Event::DiscoveryCrowded(span) => {
+                self.list.trouble(Trouble::Crowded(300));
+                self.after(span, Later::Discovery);
+            }
+            Event::Restart(one) => self.restart(one),
+            Event::Kill(one) => {
+                self.happen_later(Later::Kill(one));
+                self.after(200 * MS, Later::Start(one));
+            }
+            Event::Reload(one) => self.reload(one),
+            Event::HoldUp(one, span) => {
+                let balancer = Arc::clone(&self.balancers[one]);
+                let span = Duration::from_nanos(span);
+                self.threads.push(std::thread::spawn(move || lock(&balancer).hold_up(span)));
+            }
+            Event::Share(one, share, span) => self.share(one, share, span),
+        }
+    }
+
+    fn happen_later(&mut self, what: Later) {
+        match what {
+            Later::Gone(caches) => self.list.change(caches, CacheState::Gone),
+            Later::Reset(caches) => {
+                self.caches.faults.lock().down.extend(&caches);
+                self.after(RESET, Later::Work(caches));
+            }
+            Later::Work(caches) => {
+                let mut faults = self.caches.faults.lock();
+                for cache in &caches {
+                    faults.hanging.remove(cache);
+                    faults.down.remove(cache);
+                }
+            }
+            Later::Whole => {
+                let mut faults = self.caches.faults.lock();
+                let (hanging, down) = (faults.hanging.clone(), faults.down.clone());
+                *faults = caches::CacheFaults { hanging, down, ..Default::default() };
+            }
+            Later::Discovery => self.list.trouble(Trouble::None),
+            Later::Term(one) => self.term(one),
+            Later::Kill(one) => lock(&self.balancers[one]).kill(),
+            Later::Start(one) => {
+                let known = self.list.known();
+                if let Err(e) = lock(&self.balancers[one]).start(known) {
+                    self.events.push((self.clock.now(), e));
+                }
+            }
+        }
+    }
+
+    /// How long after the request to end a process is killed: as early as may be.
+    fn kill_after(&self) -> Time {
+        let longest = self.plan.manners.patience.iter().max().copied().unwrap_or_default();
+        longest.min(DEADLINE_MOST) + KILL_AFTER
+    }
+
+    fn restart(&mut self, one: usize) {
+        let kill = self.kill_after();
+        let is_open = self.board.lock()[one].doors == balancers::Doors::Open;
+        if !is_open {
+            return;
+        }
+        // Caches that hang through the whole of a shutdown.
+        self.happen(Event::Hangs(self.plan.rules.own_listeners, kill));
+        let started = self.clock.now() + HANG_BEFORE;
+        self.later.push((started, Later::Term(one)));
+    }
+
+    fn term(&mut self, one: usize) {
+        let kill = self.kill_after();
+        lock(&self.balancers[one]).term();
+        self.after(kill, Later::Kill(one));
+        self.after(kill + 50 * MS, Later::Start(one));
+    }
+
+    fn reload(&mut self, one: usize) {
+        self.door_now[one] = 1 - self.door_now[one];
+        let door = self.doors[one][self.door_now[one]];
+        let mut balancer = lock(&self.balancers[one]);
+        match balancer.configure("discovery", serde_json::json!(door)) {
+            Ok(_) => balancer.signal(Signal::SIGHUP),
+            Err(e) => self.events.push((self.clock.now(), e)),
+        }
+    }
+
+    fn share(&mut self, one: usize, share: u64, span: Time) {
+        let balancer = Arc::clone(&self.balancers[one]);
+        let clock = self.clock;
+        let until = clock.now() + span;
+        self.threads.push(std::thread::spawn(move || {
+            let runs = SHARE_PERIOD.mul_f64(share as f64 / 100.0);
+            while clock.now() < until {
+                lock(&balancer).hold_up(SHARE_PERIOD - runs);
+                std::thread::sleep(runs);
+            }
+        }));
+    }
+
+    fn finish(self, asked: Vec<records::Asked>) -> Result<Outcome, String> {
+        self.look();
+        let with_most = |(balancer, most): (&Shared, &usize)| {
+            let usage = lock(balancer).usage().unwrap_or_default();
+            Usage { descriptors: *most, ..usage }
+        };
+        let usage = self.balancers.iter().zip(&self.descriptors).map(with_most).collect();
+        let counters = self.balancers.iter().map(|balancer| lock(balancer).counters()).collect();
+        let change_bytes = self.list.change_bytes();
+        let attempts = self.caches.stop();
+        let (changes, told, down) = self.list.log();
+        let public = self.board.lock().clone();
+        let (stops, lives) = public.into_iter().map(|me| (me.stops, me.lives)).unzip();
+        let events = self.events;
+        let records = Records { asked, attempts, changes, told, down, stops, lives, events };
+        let breaches = referee::judge(&records, &self.plan.rules);
+        let ends = referee::ends(&records.asked);
+        let attempts = records.attempts.len();
+        Ok(Outcome { breaches, ends, attempts, usage, counters, change_bytes, records })
+    }
+}
--- /dev/null
+++ b/crates/trials/src/soak/records.rs
@@ -0,0 +1,212 @@
+//! What the stand-ins of a soak saw, in nanoseconds since its beginning.
+//!
+//! Where something can have come earlier than it was read, the record has the earliest time: that of the look before. What
+//! the trial itself delays is allowed for by that, and by nothing else.
+
+use serde::Serialize;
+
+/// Nanoseconds since the beginning of the soak.
+pub type Time = u64;
+
+/// One millisecond.
+pub const MS: Time = 1_000_000;
+
+/// What a repeat of a request may do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Effect {
+    /// It may be repeated.
+    Safe,
+    /// It may be repeated within a window.
+    Keyed,
+    /// It must not run twice.
+    Unsafe,
+}
+
+impl Effect {
+    /// All of them, as classes of the settings, by name and `repeat`.
+    pub const CLASSES: [(Effect, &'static str, &'static str); 3] =
+        [(Effect::Safe, "read", "safe"), (Effect::Keyed, "put", "keyed"), (Effect::Unsafe, "once", "unsafe")];
+
+    /// The name of its class.
+    pub fn class(self) -> &'static str {
+        Self::CLASSES[self as usize].1
+    }
+}
+
+/// How a request ended for its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum End {
+    /// A value or receipt that a cache made for it.
+    Served,
+    /// `-BUSY`.
+    Refused,
+    /// Any other answer.
+    Failed,
+    /// A value that was made for another request.
+    Wrong,
+    /// The balancer ended the connection before, having read all that was written.
+    Closed,
+    /// The connection was reset before.
+    Reset,
+    /// The client left before.
+    Left,
+    /// Nothing came until the client gave up waiting, long after its time.
+    Never,
+}
+
+/// A request as its client saw it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Asked {
+    /// Its id.
+    pub id: String,
+    /// Which balancer, and in which of its lives.
+    pub balancer: usize,
+    /// See `balancer`.
+    pub life: usize,
+    /// What a repeat may do.
+    pub effect: Effect,
+    /// When its last byte had been written.
+    pub sent: Time,
+    /// When the answer before it on its connection had come, if it was sent behind another: until then its time stands.
+    pub behind: Time,
+    /// How long its client waits.
+    pub patience: Time,
+    /// When its client had closed, if it left.
+    pub closed: Option<Time>,
+    /// How it ended, and the earliest time at which that came.
+    pub end: End,
+    /// See `end`.
+    pub ended: Time,
+}
+
+impl Asked {
+    /// From when its time counts.
+    pub fn since(&self) -> Time {
+        self.sent.max(self.behind)
+    }
+
+    /// When its time is over.
+    pub fn deadline(&self) -> Time {
+        self.since() + self.patience
+    }
+}
+
+/// What a cache made of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum AttemptEnd {
+    /// Nothing was answered.
+    Open,
+    /// It was turned away: it never ran.
+    TurnedAway,
+    /// It ran, whatever came back of it.
+    Ran,
+}
+
+/// An attempt as a cache saw it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Attempt {
+    /// The request's id.
+    pub id: String,
+    /// Which listener it came to.
+    pub listener: usize,
+    /// The earliest time at which its first byte can have come.
+    pub began: Time,
+    /// When its last byte had come.
+    pub whole: Time,
+    /// The time that it was told, in milliseconds.
+    pub told_ms: u64,
+    /// What was made of it.
+    pub end: AttemptEnd,
+    /// When its answer was written, or its connection was found to have ended.
+    pub over: Option<Time>,
+}
+
+/// A change of the list, and when discovery had it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Change {
+    /// The version that it made.
+    pub version: u64,
+    /// When.
+    pub at: Time,
+    /// Which caches, by number.
+    pub caches: Vec<usize>,
+    /// What they are from then on.
+    pub state: CacheState,
+}
+
+/// What the list says of a cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum CacheState {
+    /// At work; started at this Unix time in milliseconds, or long ago.
+    Up {
+        /// See there.
+        born_ms: u64,
+    },
+    /// It wants nothing new.
+    Draining,
+    /// It is gone.
+    Gone,
+}
+
+/// A version that discovery had written to a balancer.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Told {
+    /// Which balancer.
+    pub balancer: usize,
+    /// Up to which version.
+    pub version: u64,
+    /// When.
+    pub at: Time,
+}
+
+/// A time in which something was so.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct Span {
+    /// From then on.
+    pub from: Time,
+    /// Until then.
+    pub to: Time,
+}
+
+impl Span {
+    /// How much of it lies in another.
+    pub fn within(&self, from: Time, to: Time) -> Time {
+        self.to.min(to).saturating_sub(self.from.max(from))
+    }
+}
+
+/// A life of a balancer's process.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Life {
+    /// When it was started.
+    pub started: Time,
+    /// When it first answered `PING` with a yes.
+    pub ready: Option<Time>,
+    /// When it was asked to end.
+    pub asked_to_end: Option<Time>,
+    /// When it was killed, asked to end before or not.
+    pub killed: Option<Time>,
+    /// When it was found to have ended by itself, and whether as it should.
+    pub ended: Option<(Time, bool)>,
+}
+
+/// All that was seen.
+#[derive(Debug, Default, Serialize)]
+pub struct Records {
+    /// Requests.
+    pub asked: Vec<Asked>,
+    /// Attempts.
+    pub attempts: Vec<Attempt>,
+    /// Changes of the list.
+    pub changes: Vec<Change>,
+    /// What discovery wrote.
+    pub told: Vec<Told>,
+    /// When discovery could not be reached.
+    pub down: Vec<Span>,
+    /// By balancer: when it stood still.
+    pub stops: Vec<Vec<Span>>,
+    /// By balancer: its lives.
+    pub lives: Vec<Vec<Life>>,
+    /// What happened, for the reader.
+    pub events: Vec<(Time, String)>,
+}
