--- a/crates/pipitrun/src/event_loop.rs
+++ b/crates/pipitrun/src/event_loop.rs
@@ -149,7 +149,7 @@
             counters: Counters::default(),
             news: Vec::new(),
             looks,
-            turns: TurnMeter::default(),
+            turns: TurnMeter::start(now),
             up: VecDeque::new(),
             postponed_turns: 0,
             catching_up: false,
@@ -242,8 +242,10 @@
     /// What waits to be written goes last, behind the closes of clients and the lists that were found with it.
     fn gather(&mut self, ready: &mut Vec<Ready>, looked: bool) {
         let now = self.clock.now();
-        let somebody_waits = ready.iter().any(|one| one.source == Source::Listener);
-        self.front.set_looks(self.looks, somebody_waits);
+        if looked {
+            let somebody_waits = ready.iter().any(|one| one.source == Source::Listener);
+            self.front.set_looks(self.looks, somebody_waits);
+        }
         self.tries.set_lost(self.looks.lost());
         // The operators' calls go first: whatever the load, an answer waits for one turn at most.
         for one in ready.iter().filter(|one| matches!(one.source, Source::Management | Source::Caller(_))) {
@@ -319,12 +321,15 @@
             }
             Due::Stall(number) => {
                 let mut events = Vec::new();
-                self.peers.stall_due(now, number, &mut events, &mut self.counters);
+                // What came since the last look is not read yet.
+                let seen = self.looks.quiet();
+                self.peers.stall_due(seen, number, &mut events, &mut self.counters);
                 self.peer_events(now, events);
             }
             Due::Discovery(number) => {
                 let mut events = Vec::new();
-                self.group.due(now, number, &mut self.timers, &mut events, &mut self.counters);
+                let seen = self.looks.quiet();
+                self.group.due(seen, number, &mut self.timers, &mut events, &mut self.counters);
                 self.group_events(events);
             }
             Due::Watch => self.watch(now),
--- a/crates/pipitrun/src/event_loop/turns.rs
+++ b/crates/pipitrun/src/event_loop/turns.rs
@@ -11,10 +11,9 @@
 const CATCH_UP_MOST: u32 = 64;
 
 /// A step of a turn.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum TurnStep {
     /// Calls of the operators.
-    #[default]
     Operators,
     /// What discovery tells.
     Lists,
@@ -29,7 +28,7 @@
 }
 
 /// Measures turns by their steps.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct TurnMeter {
     began: Nanos,
     /// The step at hand, and when it began.
@@ -40,8 +39,8 @@
 
 impl TurnMeter {
     /// A turn begins.
-    pub(super) fn begin(&mut self, now: Nanos) {
-        *self = TurnMeter { began: now, step: (TurnStep::Operators, now), longest: (TurnStep::Operators, 0) };
+    pub(super) fn start(now: Nanos) -> Self {
+        TurnMeter { began: now, step: (TurnStep::Operators, now), longest: (TurnStep::Operators, 0) }
     }
 
     /// The next step begins.
@@ -68,7 +67,7 @@
     /// A wait for ready sockets began and returned then.
     pub(super) fn note_look(&mut self, began: Nanos, returned: Nanos, looked: bool) {
         let held_up = self.looks.waited(began, returned, looked);
-        self.turns.begin(returned);
+        self.turns = TurnMeter::start(returned);
         if held_up == 0 {
             return;
         }
@@ -109,3 +108,6 @@
 fn level(count: u64) -> log::Level {
     if count.is_power_of_two() { log::Level::Warn } else { log::Level::Debug }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/trials/src/soak/clients.rs
+++ b/crates/trials/src/soak/clients.rs
@@ -51,6 +51,8 @@
     balancer: usize,
     life: usize,
     connection: Connection,
+    /// Something was answered on it.
+    answered: bool,
     /// Requests whose answers are to come, by their places.
     open: VecDeque<usize>,
     leaves: Option<Time>,
@@ -132,6 +134,7 @@
             let Ok(answer) = resp::answer(&mut input) else { break };
             let used = held - input.len();
             client.connection.input.drain(..used);
+            client.answered = true;
             let Some(request) = client.open.pop_front() else { continue };
             let end = judge(&answer, self.keys[request], &self.asked[request]);
             (self.asked[request].end, self.asked[request].ended) = (end, before);
@@ -216,7 +219,8 @@
     fn connect(&mut self, balancer: usize, life: usize) -> Option<u64> {
         let stream = TcpStream::connect_timeout(&self.doors[balancer], Duration::from_millis(20)).ok()?;
         let connection = Connection::new(stream).ok()?;
-        let client = Client { balancer, life, connection, open: VecDeque::new(), leaves: None, rest: None };
+        let (answered, open) = (false, VecDeque::new());
+        let client = Client { balancer, life, connection, answered, open, leaves: None, rest: None };
         self.clients.insert(self.next_client, client);
         self.next_client += 1;
         Some(self.next_client - 1)
@@ -288,6 +292,7 @@
             effect,
             sent,
             behind: 0,
+            fresh: !client.answered,
             patience,
             closed: None,
             end: End::Never,
--- a/crates/trials/src/soak/records.rs
+++ b/crates/trials/src/soak/records.rs
@@ -69,6 +69,8 @@
     pub sent: Time,
     /// When the answer before it on its connection had come, if it was sent behind another: until then its time stands.
     pub behind: Time,
+    /// Nothing had been answered on its connection before.
+    pub fresh: bool,
     /// How long its client waits.
     pub patience: Time,
     /// When its client had closed, if it left.
--- a/crates/trials/src/soak/referee/tests.rs
+++ b/crates/trials/src/soak/referee/tests.rs
@@ -32,6 +32,7 @@
         effect,
         sent: 2 * S,
         behind: 0,
+        fresh: true,
         patience: 400 * MS,
         closed: None,
         end: End::Served,
@@ -62,9 +63,21 @@
     let held = |records: &mut Records| records.stops[0].push(Span { from: 2 * S, to: 2 * S + 300 * MS });
     assert!(found(late(850), vec![], held).is_empty());
     assert_eq!(found(late(851), vec![], held), ["lost"]);
+    let held_on = |records: &mut Records| {
+        let spans = [(2_000, 2_900), (2_900, 4_000), (4_000, 5_000)];
+        records.stops[0].extend(spans.map(|(from, to)| Span { from: from * MS, to: to * MS }));
+    };
+    assert!(found(late(3_550), vec![], held_on).is_empty());
+    assert_eq!(found(late(3_551), vec![], held_on), ["lost"]);
     for end in [End::Never, End::Closed, End::Wrong] {
         assert_eq!(found(Asked { end, ..asked(Effect::Safe) }, vec![], |_| {}), ["lost"], "{end:?}");
     }
+    let crossed = || Asked { end: End::Closed, fresh: false, ..asked(Effect::Safe) };
+    assert!(
+        found(crossed(), vec![], |_| {}).is_empty(),
+        "the balancer ended its sending between two requests"
+    );
+    assert_eq!(found(crossed(), vec![attempt(2 * S)], |_| {}), ["lost"]);
     let reset = || Asked { end: End::Reset, ..asked(Effect::Safe) };
     assert!(found(reset(), vec![], |_| {}).is_empty(), "it was not read");
     assert_eq!(found(reset(), vec![attempt(2 * S)], |_| {}), ["lost"], "it was forwarded");
