A cache's age fits with when it was listed, whatever the wall clock was at the start

Cause (the class of the incident: acting by a time read long ago): a process takes Unix time once, at its start. Started while its machine's clock was an hour ahead, it took caches that came later for warm; an hour behind, for cold until the hour was over. Times handed over to the next process had the same fault.

Change: a cache is at least as old as its listing, and, if it comes while lists are told, at most 6 s older: by then it counts as told. What was learnt by another process names no time that goes further than one of ours could.

Tests: five clocks, and a hand-over.

--- a/crates/finchyard/src/brain.rs
+++ b/crates/finchyard/src/brain.rs
@@ -72,7 +72,7 @@
 const DISTRESS: f64 = 0.6; // Under this share the origin is in distress: no copies, and no retries of errors.
 const KNOWN_FOR: Nanos = 4_000 * MS; // A key answered in this or the last such period is probably held.
 const IDLE_CONNECTIONS: usize = 60; // Left open at a server over all routers: a handshake has its price.
-const IDLE_MOST: usize = 64; // ... and of one router at so many, however many there are: each is a descriptor.
+const IDLE_MOST: usize = 64; // ... and of one router this many in all: each is a descriptor.
 const IDLE_LEAST: Nanos = 500 * MS; // Those beyond it are closed once idle for this long.
 const HOUSEKEEPING: Nanos = 100 * MS; // Short against every deadline, long enough to cost nothing.
 const RATE_TAU: f64 = 2.0 * SEC; // Memory of request rates: under a cold window, and quick to grow back.
@@ -86,13 +86,15 @@
 const SHED_TURN: f64 = 0.55; // Of the circle: over half, or turns would shed the same halves for ever.
 const HOLD_PART: Nanos = 2; // A request waits for room at most this part of its aim ...
 const HOLD_PART_OVER: Nanos = 8; // ... or this, beyond its tenant's share; later it would come late anyway.
+const LISTED_WITHIN: Nanos = 6_000 * MS; // What comes while lists are told started so long before at most.
 const CALL_BACKOFF: Nanos = 400 * MS; // First wait after a failed list call; doubles up to the next.
 const CALL_BACKOFF_MAX: Nanos = 2_500 * MS; // Or twice the time for asking; half more at most, and a call
 // that hangs is given up after 1.6 s: all within the 6 s after which a change counts as told.
 const CALL_SPREAD: Nanos = 300 * MS; // Routers restarted together spread their first list call over it.
 
-fn unknown_server(entry: Entry, now: Nanos, fill: f64) -> Server {
-    let told = Server { entry, hits: HITS_START, backoff: BACKOFF, ..Server::default() };
+fn unknown_server(entry: Entry, is_news: bool, now: Nanos, fill: f64) -> Server {
+    let told =
+        Server { entry, listed: now, is_news, hits: HITS_START, backoff: BACKOFF, ..Server::default() };
     Server { cold_budget: fill, cold_budget_at: now, ..told }
 }
 
@@ -205,11 +207,21 @@
         self.slots.candidates(slot)
     }
 
+    /// How long a server has run: by its stated start, as far as that fits with when it was listed.
+    /// Starts are told by a clock that all machines read; this machine's may have been off when the process
+    /// started.
+    fn age(&self, s: &Server) -> Nanos {
+        let stated = self.now.saturating_sub(s.entry.started);
+        let listed = self.now.saturating_sub(s.listed);
+        let most = if s.is_news { listed.saturating_add(LISTED_WITHIN) } else { Nanos::MAX };
+        stated.clamp(listed, most)
+    }
+
     /// Share of its capacity that a server has at least, by the stated cold share and warm-up.
-    fn ramp(&self, entry: &Entry) -> f64 {
+    fn ramp(&self, s: &Server) -> f64 {
         let rules = &self.settings.rules;
-        let age = self.now.saturating_sub(entry.started);
-        if entry.started == 0 || age >= rules.warm_after {
+        let age = self.age(s);
+        if s.entry.started == 0 || age >= rules.warm_after {
             return 1.0;
         }
         let cold = rules.cold_from.clamp(0.01, 1.0);
@@ -221,7 +233,7 @@
     /// tips it, and starts at a random fill, so that hundreds do not send their first at once.
     fn cold_room(&mut self, id: ServerId) -> bool {
         let Some(s) = self.servers.get(&id) else { return false };
-        let ramp = self.ramp(&s.entry);
+        let ramp = self.ramp(s);
         if ramp >= 1.0 {
             return true;
         }
@@ -275,7 +287,7 @@
     fn draw_weight(&self, s: &Server, rank: usize, work: Option<Nanos>) -> f64 {
         let misses = (1.0 - self.hits[rank]).max(LEAST_MISSES).powi(GATHER);
         let takes = work.and_then(|w| s.pace.expect(w as f64)).unwrap_or(0.0);
-        self.ramp(&s.entry) * s.hits.max(LEAST_WEIGHT) / misses / (1.0 + HEAVY * takes / self.aim.max(1.0))
+        self.ramp(s) * s.hits.max(LEAST_WEIGHT) / misses / (1.0 + HEAVY * takes / self.aim.max(1.0))
     }
 
     /// Two draws among the fit candidates; fewer of our requests in flight wins, on a tie the better rank.
@@ -915,18 +927,22 @@
         if scope != ListScope::Stale {
             self.call_backoff = CALL_BACKOFF;
         }
+        // What the first list names may have run for as long as it says.
+        let is_news = !self.servers.is_empty();
         for entry in entries {
             if entry.phase == Phase::Removed {
                 self.servers.remove(&entry.server);
                 continue;
             }
             let fill = self.random_below(1000) as f64 / 1000.0;
-            let known =
-                self.servers.entry(entry.server).or_insert_with(|| unknown_server(entry, self.now, fill));
+            let known = self
+                .servers
+                .entry(entry.server)
+                .or_insert_with(|| unknown_server(entry, is_news, self.now, fill));
             // Same id, new start: another process, of which nothing is known.
             if known.entry.started != entry.started {
                 let out = std::mem::take(&mut known.out);
-                *known = Server { out, ..unknown_server(entry, self.now, fill) };
+                *known = Server { out, ..unknown_server(entry, is_news, self.now, fill) };
             }
             known.entry = entry;
         }
--- a/crates/finchyard/src/brain/housekeeping.rs
+++ b/crates/finchyard/src/brain/housekeeping.rs
@@ -64,7 +64,7 @@
         gathered.suspects += usize::from(s.suspect_until.is_some() || s.turned > CALM);
         if !self.is_origin(&s.entry) {
             gathered.latencies.extend(Some(s.latency.now).filter(|latency| *latency > 0.0));
-            gathered.ready_weight += self.weight(&s.entry) * self.ramp(&s.entry);
+            gathered.ready_weight += self.weight(&s.entry) * self.ramp(s);
         }
     }
 
--- a/crates/finchyard/src/brain/learnt.rs
+++ b/crates/finchyard/src/brain/learnt.rs
@@ -1,6 +1,6 @@
 //! What a router has learnt, as it hands it over to the one that takes its place. Nothing is decided here.
 
-use super::Brain;
+use super::{BACKOFF, BACKOFF_MAX, Brain};
 use crate::api::*;
 use crate::stats::{Mean, MeanParts};
 use serde::{Deserialize, Serialize};
@@ -119,8 +119,12 @@
             if s.entry.started == told.started {
                 s.latency = Mean::of(told.latency);
                 (s.hits, s.limit, s.strikes, s.turned) = (told.hits, told.limit, told.strikes, told.turned);
-                (s.suspect_until, s.proven, s.backoff) = (told.suspect_until, told.proven, told.backoff);
-                (s.cold_budget, s.cold_budget_at) = (told.cold_budget, told.cold_budget_at);
+                // The other process's clock may have begun while the machine's was off: no time of its goes further
+                // than one of ours could.
+                let until = told.suspect_until.map(|until| until.min(self.now.saturating_add(BACKOFF_MAX)));
+                (s.suspect_until, s.proven) = (until, told.proven);
+                s.backoff = told.backoff.clamp(BACKOFF, BACKOFF_MAX);
+                (s.cold_budget, s.cold_budget_at) = (told.cold_budget, told.cold_budget_at.min(self.now));
             }
         }
         Ok(())
--- a/crates/finchyard/src/brain/learnt/tests.rs
+++ b/crates/finchyard/src/brain/learnt/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of `learnt`.
 
+use crate::brain::BACKOFF_MAX;
 use crate::brain::tests::{brain, settings};
 use crate::*;
 
@@ -23,6 +24,21 @@
     assert_eq!(new.copy_budget + old.copy_budget, copies, "together no more than one");
 }
 
+#[test]
+fn times_of_a_process_whose_clock_was_ahead_go_no_further_than_our_own_could() {
+    let mut old = brain(3);
+    let first = *old.servers.keys().next().unwrap();
+    let server = old.servers.get_mut(&first).unwrap();
+    let ahead = 3_600_000_000_000;
+    (server.suspect_until, server.cold_budget_at, server.backoff) = (Some(ahead), ahead, ahead);
+    let learnt = old.learnt();
+    let mut new = brain(3);
+    new.recall(&learnt).unwrap();
+    let server = &new.servers[&first];
+    assert_eq!((server.suspect_until, server.backoff), (Some(new.now + BACKOFF_MAX), BACKOFF_MAX));
+    assert_eq!(server.cold_budget_at, new.now);
+}
+
 #[test]
 fn of_a_server_that_started_anew_or_is_not_listed_nothing_is_taken_over() {
     let mut old = brain(3);
--- a/crates/finchyard/src/brain/tests.rs
+++ b/crates/finchyard/src/brain/tests.rs
@@ -192,11 +192,12 @@
 fn the_ramp_rises_evenly_from_the_cold_share() {
     let mut brain = brain(3);
     let entry = Entry { started: 50_000 * MS, ..Entry::default() };
+    let server = Server { entry, listed: 50_000 * MS, ..Server::default() };
     for (age, ramp) in [(0, 0.2), (5_000, 0.6), (10_000, 1.0), (60_000, 1.0)] {
         brain.now = (50_000 + age) * MS;
-        assert!((brain.ramp(&entry) - ramp).abs() < 1e-9);
+        assert!((brain.ramp(&server) - ramp).abs() < 1e-9);
     }
-    assert_eq!(brain.ramp(&Entry::default()), 1.0);
+    assert_eq!(brain.ramp(&Server::default()), 1.0);
 }
 
 #[test]
@@ -737,6 +738,31 @@
     }
 }
 
+#[test]
+fn a_server_that_comes_while_lists_are_told_is_cold_whatever_the_wall_clock_said() {
+    let rules = || Rules { warm_after: 20_000 * MS, cold_from: 0.1, ..settings().rules };
+    let begin = 10_000_000 * MS;
+    // The process started while its machine's wall clock was ahead, or behind, by so much; the list tells true starts.
+    for (ahead, behind) in [(0, 0), (3_600_000, 0), (0, 3_600_000), (5_000, 0), (0, 5_000)] {
+        let settings = Settings { rules: rules(), ..settings() };
+        let mut brain = Brain::new(settings, 1, 0).expect("settings make sense");
+        let own = |time: Nanos| time + ahead * MS - behind * MS;
+        brain.now = own(begin);
+        brain.on_list(ListScope::Whole, vec![Entry { server: ServerId(1), ..Entry::default() }]);
+        let started = begin + 1_000 * MS;
+        // It is listed a second after its start.
+        brain.now = own(begin + 2_000 * MS);
+        brain.on_list(ListScope::Patch, vec![Entry { server: ServerId(2), started, ..Entry::default() }]);
+        let part = |brain: &Brain| brain.ramp(&brain.servers[&ServerId(2)]);
+        let at = |age: f64| 0.1 + 0.9 * age / 20.0 + 1e-9;
+        assert!(part(&brain) <= at(6.0), "{ahead} {behind}: {}", part(&brain));
+        brain.now = own(begin + 12_000 * MS);
+        assert!((at(9.9)..at(16.0)).contains(&part(&brain)), "{ahead} {behind}: {}", part(&brain));
+        brain.now = own(begin + 22_000 * MS);
+        assert_eq!(part(&brain), 1.0, "{ahead} {behind}: in time, however far behind the clock was");
+    }
+}
+
 #[test]
 fn hundreds_of_routers_leave_few_connections_idle_and_a_few_routers_theirs() {
     for (routers, servers, left) in [(2, 40, 40), (200, 40, 12), (2, 400, IDLE_MOST), (300, 3_200, IDLE_MOST)]
--- a/crates/finchyard/src/state.rs
+++ b/crates/finchyard/src/state.rs
@@ -10,6 +10,9 @@
 #[derive(Default)]
 pub(crate) struct Server {
     pub(crate) entry: Entry,
+    /// When it was first listed with its present start, and whether others were listed before it.
+    pub(crate) listed: Nanos,
+    pub(crate) is_news: bool,
     /// Attempts out: when sent, which.
     pub(crate) out: Vec<(Nanos, RequestId, AttemptNo)>,
     pub(crate) last_answer: Nanos,
