--- a/crates/pipitrun/src/front/resp.rs
+++ b/crates/pipitrun/src/front/resp.rs
@@ -1,18 +1,22 @@
 //! The RESP front: client connections, commands in, answers out in the order of the commands.
 
+mod commands;
+mod door;
+mod sweep;
+
 use super::LEAVE;
 use crate::counters::Counters;
 use crate::life_cycle::{Door, Stance};
 use crate::looks::{Looks, Presence};
 use crate::poll::{Poll, Ready, Source, Watched, discard, has_ended, has_unsent, is_silent};
-use crate::request::{FinalAnswer, Incoming, Order, Ticket};
+use crate::request::{FinalAnswer, Incoming, Ticket};
 use crate::resp::{self, VALUE_MAX, read_command};
 use crate::timers::MS;
+use commands::{Taken, command, encode, error};
 use finchyard::{Nanos, RequestId};
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::ops::Range;
 
 /// Commands of one connection that may wait for their answers; the next ones stay unread.
 const OWED_MAX: usize = 128;
@@ -53,10 +57,6 @@
 const HALF_LEAST: Nanos = 1_000 * MS;
 /// With more than this part of the places taken by those, they alone make room for newcomers.
 const MUTE_PART: usize = 4;
-/// The most work that a client may guess, in microseconds: more than an hour is no guess.
-const HINT_MAX: f64 = 3.6e9;
-/// No client waits longer than this.
-const PATIENCE_MAX: f64 = 3_600_000.0;
 
 /// What a front tells the core.
 #[derive(Debug)]
@@ -230,122 +230,6 @@
         self.listener.as_ref()?.socket().local_addr().ok()
     }
 
-    /// Takes the clients that wait at the door.
-    pub fn accept(&mut self, now: Nanos, counters: &mut Counters) {
-        if self.stance.door.is_others() {
-            return;
-        }
-        // Who is taken now may have waited since then, unless none was left when the listener was last served.
-        let waited_since = self.looks.arrived().min(self.door_waits.unwrap_or(Nanos::MAX));
-        self.door_waits = Some(waited_since);
-        for _ in 0..ACCEPT_MAX {
-            if self.connections.len() >= self.most && !self.make_room(now, counters) {
-                // All are at work: whoever comes waits in the listener's queue until one is done. Taking it
-                // would use up the descriptors that peers and discovery need.
-                return self.pause(true);
-            }
-            let Some(listener) = &self.listener else { return };
-            match listener.socket().accept() {
-                Ok((stream, _)) => {
-                    let number = self.next_connection;
-                    let watched = stream
-                        .set_nonblocking(true)
-                        .and_then(|()| stream.set_nodelay(true))
-                        .and_then(|()| self.poll.watch(stream, Source::Client(number), true, false));
-                    let stream = match watched {
-                        Ok(stream) => stream,
-                        Err(e) => {
-                            log::warn!("client connection {number}: {e}");
-                            continue;
-                        }
-                    };
-                    self.next_connection += 1;
-                    counters.clients_accepted += 1;
-                    self.connections.insert(
-                        number,
-                        ClientConnection {
-                            stream,
-                            input: Vec::new(),
-                            places: VecDeque::new(),
-                            output: Vec::new(),
-                            written: 0,
-                            last: false,
-                            active: now,
-                            since: now,
-                            spoken: false,
-                            leaves: None,
-                            presence: Presence::accepted(&self.looks, waited_since),
-                        },
-                    );
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    self.door_waits = None;
-                    return;
-                }
-                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
-                Err(e) => {
-                    // Out of descriptors, most likely: without a pause the loop would spin on the same error.
-                    log::warn!("accepting clients: {e}");
-                    return self.pause(true);
-                }
-            }
-        }
-    }
-
-    fn pause(&mut self, pause: bool) {
-        let pause = pause || self.stance.door.is_others();
-        if let Some(listener) = &mut self.listener
-            && self.accepting == pause
-        {
-            match listener.interest(!pause, false) {
-                Ok(()) => {
-                    self.accepting = !pause;
-                    if pause {
-                        // Nobody looks at the listener from now on.
-                        self.door_waits.get_or_insert(self.looks.quiet());
-                    }
-                }
-                Err(e) => log::warn!("listener: {e}"),
-            }
-        }
-    }
-
-    /// Closes the connection that has been idle longest, if one is. One that was just taken, or on which something
-    /// waits to be read, is not idle: in a rush of newcomers each would be closed for the next, its request unread. Nor is
-    /// one that is still taking its last answer.
-    /// Those that leave anyway go first, then those on which nothing ever came, or clients that say nothing would push
-    /// out those that do.
-    fn make_room(&mut self, now: Nanos, counters: &mut Counters) -> bool {
-        let mute = self.connections.values().filter(|c| !c.spoken && c.input.is_empty()).count();
-        let spoken_least = if mute > self.most / MUTE_PART { IDLE_CROWDED } else { IDLE_FULL };
-        // In this order; whether something waits to be read or sent is asked last, for it is a system call.
-        let rank = |c: &ClientConnection| {
-            if c.leaves.is_some() {
-                return Some(0);
-            }
-            let still = now.saturating_sub(c.active);
-            if !c.is_idle() {
-                (c.places.is_empty() && !c.input.is_empty() && still >= HALF_LEAST).then_some(3)
-            } else if c.spoken {
-                (still >= spoken_least).then_some(2)
-            } else {
-                (still >= MUTE_LEAST).then_some(1)
-            }
-        };
-        let ranked = self.connections.iter().filter_map(|(n, c)| Some((rank(c)?, c.active, *n)));
-        let mut ranked: Vec<(u8, Nanos, u64)> = ranked.collect();
-        ranked.sort_unstable();
-        let silent = |n: &u64| {
-            let stands =
-                |c: &ClientConnection| is_silent(c.stream.socket()) && !has_unsent(c.stream.socket());
-            self.connections.get(n).is_some_and(|c| c.leaves.is_some() || stands(c))
-        };
-        let number = ranked.into_iter().map(|(.., number)| number).find(silent);
-        let Some(number) = number else { return false };
-        self.remove(number, counters, &mut Vec::new());
-        true
-    }
-
     /// Reads and writes what a connection is ready for.
     pub fn ready(&mut self, now: Nanos, ready: Ready, events: &mut Vec<FrontEvent>, counters: &mut Counters) {
         let Source::Client(number) = ready.source else { return };
@@ -647,81 +531,6 @@
         self.pause(false);
     }
 
-    /// Looks for clients that take nothing of what they are owed, say nothing or nothing whole, or are done, and tries
-    /// the door again after an error.
-    pub fn sweep(&mut self, now: Nanos, events: &mut Vec<FrontEvent>, counters: &mut Counters) {
-        let stuck = |c: &ClientConnection| c.unsent() > 0 && now.saturating_sub(c.active) > STUCK;
-        let stuck: Vec<u64> = self.connections.iter().filter(|(_, c)| stuck(c)).map(|(n, _)| *n).collect();
-        for number in stuck {
-            self.remove(number, counters, events);
-        }
-        // Where nothing is read, for too much is owed or too much has come, no read shows the end.
-        let left = |c: &ClientConnection| match c.leaves {
-            Some(until) => now >= until || has_ended(c.stream.socket()),
-            None => !c.is_read() && has_ended(c.stream.socket()),
-        };
-        let left: Vec<u64> = self.connections.iter().filter(|(_, c)| left(c)).map(|(n, _)| *n).collect();
-        for number in left {
-            let waits = |c: &ClientConnection| c.leaves.is_none() && !c.places.is_empty();
-            counters.left_unread += u64::from(self.connections.get(&number).is_some_and(waits));
-            self.remove(number, counters, events);
-        }
-        // A client that says nothing, or half a command, must hold neither place nor memory for good.
-        let unfinished = |c: &ClientConnection| {
-            !(c.spoken && c.input.is_empty())
-                && c.takes_commands()
-                && c.places.is_empty()
-                && now.saturating_sub(c.since) >= UNFINISHED
-                // What has come but is not read yet may end it.
-                && is_silent(c.stream.socket())
-        };
-        let late: Vec<u64> =
-            self.connections.iter().filter(|(_, c)| unfinished(c)).map(|(n, _)| *n).collect();
-        for number in late {
-            counters.clients_unfinished += 1;
-            if let Some(c) = self.connections.get_mut(&number).filter(|c| !c.input.is_empty()) {
-                c.places.push_back(Place::Answered(error("ERR the command did not end in time")));
-                c.input = Vec::new();
-                c.last = true;
-                self.flush(number, now, events, counters);
-            } else {
-                self.leave(number, now, counters, events);
-            }
-        }
-        let stay = self.connections.values().filter(|c| c.leaves.is_none()).count();
-        let crowded = stay > self.most / 2;
-        let most = match (self.stance.closes_idle, crowded) {
-            (true, _) => IDLE_CLOSING,
-            (false, true) => IDLE_CROWDED,
-            (false, false) => IDLE,
-        };
-        let done = |c: &ClientConnection| {
-            c.is_idle() && now.saturating_sub(c.active) >= most && is_silent(c.stream.socket())
-        };
-        let mut done: Vec<u64> = self.connections.iter().filter(|(_, c)| done(c)).map(|(n, _)| *n).collect();
-        let most = self.most * CROWD / 100;
-        let beyond = stay.saturating_sub(done.len()).saturating_sub(most);
-        let idle = |c: &ClientConnection| {
-            c.spoken
-                && c.is_idle()
-                && now.saturating_sub(c.active) >= IDLE_LEAST
-                && is_silent(c.stream.socket())
-        };
-        if beyond > 0 {
-            let idle = self.connections.iter().filter(|(n, c)| idle(c) && !done.contains(n));
-            let mut idle: Vec<(Nanos, u64)> = idle.map(|(n, c)| (c.active, *n)).collect();
-            idle.sort_unstable();
-            done.extend(idle.into_iter().take(beyond).map(|(_, number)| number));
-        }
-        for number in done {
-            counters.clients_idle += 1;
-            self.leave(number, now, counters, events);
-        }
-        // Also at the limit: connections that were at work when the door was shut may be idle by now, and a
-        // newcomer would wait for good if only a client's leaving could open it again.
-        self.pause(false);
-    }
-
     /// Takes over what follows from the life cycle now. Whoever waits at a door that is about to close is let in first,
     /// and what has come is read before its connection is closed: otherwise it would be lost.
     pub fn follow(
@@ -756,100 +565,5 @@
     }
 }
 
-/// What a command turns out to be.
-enum Taken {
-    Request(Incoming),
-    /// Something the balancer answers itself.
-    Answer(Vec<u8>),
-    Malformed(String),
-    /// An empty command, which is not answered.
-    Nothing,
-}
-
-fn command(input: &[u8], words: &[Range<usize>], ticket: Ticket, stance: Stance) -> Taken {
-    let word = |i: usize| words.get(i).map_or(&[][..], |range| &input[range.clone()]);
-    if words.is_empty() {
-        return Taken::Nothing;
-    }
-    let name = word(0).to_ascii_uppercase();
-    match (name.as_slice(), words.len()) {
-        (b"C.GET", 4) | (b"C.SET", 5) => {
-            let value = (words.len() == 5).then(|| word(4).to_vec());
-            request([word(1), word(2), word(3)], value, ticket).map_or_else(Taken::Malformed, Taken::Request)
-        }
-        (b"C.GET" | b"C.SET", _) => Taken::Malformed("wrong number of arguments".into()),
-        (b"PING", _) if stance.ready => Taken::Answer(b"+PONG\r\n".to_vec()),
-        (b"PING", _) => Taken::Answer(error(&format!("LOADING {}", stance.state))),
-        (b"CLIENT" | b"SELECT", _) => Taken::Answer(b"+OK\r\n".to_vec()),
-        _ => {
-            Taken::Malformed(format!("unknown command '{}'", word(0)[..word(0).len().min(32)].escape_ascii()))
-        }
-    }
-}
-
-fn request(
-    [key, id, fields]: [&[u8]; 3],
-    value: Option<Vec<u8>>,
-    ticket: Ticket,
-) -> Result<Incoming, String> {
-    if key.is_empty() || id.is_empty() {
-        return Err("key or id is empty".into());
-    }
-    let fields = std::str::from_utf8(fields).map_err(|_| "fields are not UTF-8".to_string())?;
-    let (mut class, mut tenant, mut patience, mut work, mut kept) = (None, None, None, None, Vec::new());
-    for field in fields.split(',').filter(|f| !f.is_empty()) {
-        let (name, text) = field.split_once('=').ok_or_else(|| format!("field '{field}' has no value"))?;
-        match name {
-            "c" => class = Some(text.to_string()),
-            "t" => tenant = Some(text.to_string()),
-            "d" => patience = Some(text),
-            // A guess, in microseconds: one that makes no sense is none.
-            "h" => {
-                let us = text.parse::<f64>().ok().filter(|us| (1.0..=HINT_MAX).contains(us));
-                work = us.map(|us| (us * 1_000.0) as Nanos);
-            }
-            _ => {}
-        }
-        if name != "d" {
-            kept.push((name.to_string(), text.to_string()));
-        }
-    }
-    let class = class.ok_or("field 'c' is missing")?;
-    let patience = patience.ok_or("field 'd' is missing")?;
-    // Whatever a client writes, no time may overflow or run backwards: digits alone, no sign, no "inf".
-    if !patience.bytes().all(|b| b.is_ascii_digit() || b == b'.') {
-        return Err(format!("field 'd': '{patience}' is no time"));
-    }
-    let ms: f64 = patience.parse().map_err(|_| format!("field 'd': '{patience}' is no number"))?;
-    if ms > PATIENCE_MAX {
-        return Err(format!("field 'd': '{patience}' is too long a time"));
-    }
-    let patience = (ms * MS as f64) as Nanos;
-    let order = Order { value, key: key.to_vec(), id: id.to_vec(), fields: kept };
-    Ok(Incoming { ticket, class, tenant, arrived: 0, patience, work, order })
-}
-
-fn error(text: &str) -> Vec<u8> {
-    let mut out = Vec::new();
-    resp::write_error(&mut out, text);
-    out
-}
-
-fn encode(answer: FinalAnswer) -> Vec<u8> {
-    match answer {
-        FinalAnswer::Served(value) => {
-            let mut out = Vec::with_capacity(value.len() + 16);
-            resp::write_bulk(&mut out, &value);
-            out
-        }
-        // The value itself comes in parts.
-        FinalAnswer::Coming(length) => format!("${length}\r\n").into_bytes(),
-        FinalAnswer::Refused { retry_after: 0 } => error("BUSY"),
-        FinalAnswer::Refused { retry_after } => error(&format!("BUSY {}", retry_after.div_ceil(MS))),
-        FinalAnswer::Failed => error("ERR failed"),
-        FinalAnswer::Invalid(problem) => error(&format!("ERR {problem}")),
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/pipitrun/src/front/resp/tests.rs
+++ b/crates/pipitrun/src/front/resp/tests.rs
@@ -1,5 +1,6 @@
 //! Client connections: who is let in, kept, heard and sent away, and answers in order and in parts.
 
+use super::commands::request;
 use super::*;
 use rstest::rstest;
 use socket2::SockRef;
--- a/crates/pipitrun/tests/common/mod.rs
+++ b/crates/pipitrun/tests/common/mod.rs
@@ -129,3 +129,14 @@
         std::thread::sleep(Duration::from_millis(1));
     }
 }
+
+/// Reads up to this end.
+pub fn read_until(stream: &mut TcpStream, end: &str) -> String {
+    let mut text = Vec::new();
+    while !text.ends_with(end.as_bytes()) {
+        let mut byte = [0];
+        assert_eq!(stream.read(&mut byte).expect("it comes"), 1, "after {}", text.escape_ascii());
+        text.push(byte[0]);
+    }
+    String::from_utf8(text).expect("text")
+}
--- a/crates/pipitrun/tests/deployments.rs
+++ b/crates/pipitrun/tests/deployments.rs
@@ -4,24 +4,14 @@
 
 mod common;
 
-use common::{Program, accept};
+use common::{Program, accept, read_until};
 use rstest::rstest;
 use serde_json::json;
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpListener;
 
 const MS: u64 = 1_000_000;
 
-fn read_until(stream: &mut TcpStream, end: &str) -> String {
-    let mut text = Vec::new();
-    while !text.ends_with(end.as_bytes()) {
-        let mut byte = [0];
-        assert_eq!(stream.read(&mut byte).expect("it comes"), 1, "after {}", text.escape_ascii());
-        text.push(byte[0]);
-    }
-    String::from_utf8(text).expect("text")
-}
-
 fn get(id: u32, fields: &str) -> String {
     let (id, length) = (id.to_string(), fields.len());
     format!("*4\r\n$5\r\nC.GET\r\n$1\r\na\r\n${}\r\n{id}\r\n${length}\r\n{fields}\r\n", id.len())
--- a/crates/pipitrun/tests/hold_ups.rs
+++ b/crates/pipitrun/tests/hold_ups.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{PATIENCE, Program, accept, wait};
+use common::{PATIENCE, Program, accept, read_until, wait};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use serde_json::{Value, json};
 use socket2::{Domain, Socket, Type};
@@ -113,17 +113,6 @@
         .into_bytes()
 }
 
-/// Reads up to this end.
-fn read_until(stream: &mut TcpStream, end: &str) -> String {
-    let mut text = Vec::new();
-    while !text.ends_with(end.as_bytes()) {
-        let mut byte = [0];
-        assert_eq!(stream.read(&mut byte).expect("it comes"), 1, "after {}", text.escape_ascii());
-        text.push(byte[0]);
-    }
-    String::from_utf8(text).expect("text")
-}
-
 /// A cache at which no connection comes up until [`FullCache::make_room`]: its queue of connections is full.
 struct FullCache {
     listener: TcpListener,
