A job begins once, however often its connection is reported to be up

A new connection is watched for writing until its job begins, so each look reports it again, the job stood in the queue again, and its command was written as often: after a hold-up an unsafe write could run twice. The soak did not find it: on loopback a connection is up within microseconds, so a hold-up seldom falls between.

Change: Peers::begin begins only what has not begun, and the queue holds a job once. Each of the two assertions of the test was seen to fail without the mend (three jobs in the queue; a second command behind the first), for reads, keyed and unsafe writes.

--- a/crates/pipitrun/src/event_loop/attempts.rs
+++ b/crates/pipitrun/src/event_loop/attempts.rs
@@ -27,6 +27,8 @@
     pub(super) fn peer_events(&mut self, now: Nanos, events: Vec<PeerEvent>) {
         for event in events {
             match event {
+                // One that waits for a look is reported again by each.
+                PeerEvent::Up { job } if self.up.contains(&job) => {}
                 PeerEvent::Up { job } => self.up.push_back(job),
                 PeerEvent::Begun { job, length } => self.begun(now, job, length),
                 PeerEvent::Part { job, bytes } => self.part(now, job, &bytes),
--- a/crates/pipitrun/src/event_loop/tests.rs
+++ b/crates/pipitrun/src/event_loop/tests.rs
@@ -2,6 +2,7 @@
 //! order, whatever the kernel and the clock make of it. A connection is late for as long as the loop isn't told that it is up.
 
 use super::*;
+use crate::poll::is_silent;
 use crate::resp::write_command;
 use rstest::rstest;
 use serde_json::json;
@@ -236,6 +237,26 @@
     assert_eq!(rest(&mut cache), "");
 }
 
+#[rstest]
+fn an_attempt_whose_connection_is_reported_again_while_it_waits_for_a_look_is_sent_once(
+    #[values("read", "put", "once")] class: &str,
+) {
+    let mut s = Stage::set(GIVEN);
+    s.ask(class, 50_000);
+    let up = s.wait(FIRST);
+    for _ in 0..3 {
+        s.the.looks = Looks::start(s.the.clock.now().saturating_sub(1_000 * MS));
+        s.the.postponed_turns = 0;
+        s.the.gather(&mut vec![up], true);
+    }
+    assert_eq!(s.the.up.len(), 1, "it waits once, however often it is reported");
+    s.turn(&[FIRST]);
+    let mut cache = s.accept(0);
+    command(&mut cache);
+    cache.set_nonblocking(true).unwrap();
+    assert!(is_silent(&cache), "nothing comes behind the command");
+}
+
 #[test]
 fn what_the_module_wants_sent_by_a_look_long_ago_waits_for_the_next_which_finds_the_drain() {
     let mut s = Stage::set(GIVEN);
--- a/crates/pipitrun/src/peers.rs
+++ b/crates/pipitrun/src/peers.rs
@@ -326,11 +326,14 @@
         counters: &mut Counters,
     ) {
         let Some(number) = self.jobs.get(&job).copied() else { return };
-        if let Some(c) = self.connections.get_mut(&number) {
-            (c.state, c.output, c.written) = (State::Busy(job), command, 0);
-            let round_trip = self.peers.get(&c.server).and_then(|peer| peer.round_trip);
-            c.stall = round_trip.unwrap_or_default().saturating_mul(STALL_TRIPS).clamp(STALL, STALL_LONG);
+        let Some(c) = self.connections.get_mut(&number) else { return };
+        // A job begins once, however often its connection is reported to be up.
+        if !matches!(c.state, State::Unbegun(_)) {
+            return;
         }
+        (c.state, c.output, c.written) = (State::Busy(job), command, 0);
+        let round_trip = self.peers.get(&c.server).and_then(|peer| peer.round_trip);
+        c.stall = round_trip.unwrap_or_default().saturating_mul(STALL_TRIPS).clamp(STALL, STALL_LONG);
         self.write(number, events, counters);
     }
 
