Review: half-written commands take a balancer over its memory limit

Case 2 of the review: 600 clients write all but the end of a command of 64 KiB each and stay, with a limit of 32 MB and 1,024 descriptors. The input of incomplete commands is not bounded by the memory limit; the process passes 32 MiB of anonymous memory and is killed, with the requests of the usual clients unanswered. The stand-ins now remove their temporary folder however they end.

--- a/review/common.rs
+++ b/review/common.rs
@@ -60,6 +60,11 @@
 /// Process ids of the programs that are running.
 static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+/// Returns the temporary folder of this run.
+fn folder() -> PathBuf {
+    std::env::temp_dir().join(format!("pipitrun-review-{}", std::process::id()))
+}
+
 /// Writes a line to the record.
 pub fn record(text: impl AsRef<str>) {
     if let Some(record) = RECORD.get() {
@@ -92,6 +97,7 @@
     for id in RUNNING.lock().unwrap().drain(..) {
         signal(id, "KILL");
     }
+    let _ = std::fs::remove_dir_all(folder());
     let text = format!("exit code {code}: {verdict}");
     record(&text);
     println!("{text}");
@@ -307,7 +313,7 @@
             .lines()
             .find_map(|line| line.strip_prefix("run = \"")?.split('"').next())
             .unwrap_or_else(|| finish(NOT_RUN, "the deploy file has no command `run`"));
-        let folder = std::env::temp_dir().join(format!("pipitrun-review-{}", std::process::id()));
+        let folder = folder();
         prepared(std::fs::create_dir_all(folder.join("tmp")), "no temporary folder");
         let (address, management) = (free_address(), free_address());
         let config = format!(
@@ -407,7 +413,6 @@
         for line in log.lines() {
             record(format!("log of the balancer: {line}"));
         }
-        let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
