--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -5,7 +5,7 @@
 mod common;
 
 use common::*;
-use std::io::Write;
+use std::io::{ErrorKind, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::thread::sleep;
@@ -24,15 +24,29 @@
 const CLIENT_TIME: Duration = Duration::from_millis(2_500);
 const SLACK: Duration = Duration::from_millis(500);
 
+/// Returns whether the balancer has closed the connection. Work stops when its request is cancelled.
+fn has_given_up(stream: &TcpStream) -> bool {
+    let _ = stream.set_nonblocking(true);
+    let closed = !matches!(stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock);
+    let _ = stream.set_nonblocking(false);
+    closed
+}
+
 /// A tile cache: it works on publications, and sends long values for reads.
 fn behave(received: &Received, stream: &mut TcpStream) -> bool {
     if received.name == "C.SET" {
         sleep(PUBLICATION_TIME);
-        let answered = stream.write_all(&served(b"receipt"));
+        if has_given_up(stream) {
+            record(format!(
+                "tile cache: the balancer gave up request {} while it ran",
+                received.id
+            ));
+            return true;
+        }
+        let _ = stream.write_all(&served(b"receipt"));
         record(format!(
-            "tile cache: request {} has run; its receipt {}",
-            received.id,
-            if answered.is_ok() { "is written" } else { "can't be written" }
+            "tile cache: the receipt of request {} is written",
+            received.id
         ));
         return true;
     }
@@ -57,7 +71,10 @@
         .map(|name| (name, start_cache(name, Arc::clone(&behaviour))))
         .collect();
     let discovery = start_discovery(&caches);
-    let limits = Limits { memory_mb: 192, sockets: 1024 };
+    let limits = Limits {
+        memory_mb: 192,
+        sockets: 1024,
+    };
     let balancer = Balancer::start(&caches, discovery, limits);
     let mut unanswered = 0;
     for round in 0..ROUNDS {
@@ -67,17 +84,31 @@
         let key = format!("{:016x}", 0xa100 + round);
         let long_key = format!("{:016x}", 0xb200 + round);
         let publish = command(&[
-            b"C.SET", key.as_bytes(), publication.as_bytes(),
-            b"c=map-publish,t=kvemo-tetri,d=2500", b"map",
+            b"C.SET",
+            key.as_bytes(),
+            publication.as_bytes(),
+            b"c=map-publish,t=kvemo-tetri,d=2500",
+            b"map",
         ]);
         let fetch = command(&[
-            b"C.GET", long_key.as_bytes(), read.as_bytes(), b"c=tile-read,t=kvemo-tetri,d=600",
+            b"C.GET",
+            long_key.as_bytes(),
+            read.as_bytes(),
+            b"c=tile-read,t=kvemo-tetri,d=600",
         ]);
         let sent = Instant::now();
-        prepared(client.write_all(&[publish, fetch].concat()), "the client can't send");
-        record(format!("client: {publication} and {read} are sent on one connection"));
+        prepared(
+            client.write_all(&[publish, fetch].concat()),
+            "the client can't send",
+        );
+        record(format!(
+            "client: {publication} and {read} are sent on one connection"
+        ));
         let first = read_answer(&mut client, LONG_VALUE, Duration::ZERO);
-        record(format!("client: {publication} got {first:?} after {} ms", sent.elapsed().as_millis()));
+        record(format!(
+            "client: {publication} got {first:?} after {} ms",
+            sent.elapsed().as_millis()
+        ));
         if matches!(first, Answer::NotWhole { .. }) {
             unanswered += 1;
         } else {
@@ -93,7 +124,13 @@
     }
     balancer.end();
     if unanswered > 0 {
-        finish(BROKEN, &format!("{unanswered} of {ROUNDS} publications got no final answer"));
+        finish(
+            BROKEN,
+            &format!("{unanswered} of {ROUNDS} publications got no final answer"),
+        );
     }
-    finish(HELD, &format!("all {ROUNDS} publications got a final answer"));
+    finish(
+        HELD,
+        &format!("all {ROUNDS} publications got a final answer"),
+    );
 }
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -7,13 +7,16 @@
 use common::*;
 use std::io::Write;
 use std::net::TcpStream;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread::{JoinHandle, sleep, spawn};
+use std::sync::Arc;
+use std::thread::{sleep, spawn, JoinHandle};
 use std::time::{Duration, Instant};
 
 /// The smallest memory and the most descriptors that a balancer gets.
-const LIMITS: Limits = Limits { memory_mb: 32, sockets: 1024 };
+const LIMITS: Limits = Limits {
+    memory_mb: 32,
+    sockets: 1024,
+};
 /// Number of connections with a half-written command.
 const HALF_WRITTEN: usize = 600;
 /// Value of that command: the longest that a command may have.
@@ -46,9 +49,15 @@
         if end.load(Ordering::Relaxed) {
             break;
         }
-        let (id, key) = (format!("read-{number}-{request}"), format!("{:016x}", 0xc300 + request % 40));
+        let (id, key) = (
+            format!("read-{number}-{request}"),
+            format!("{:016x}", 0xc300 + request % 40),
+        );
         let read = command(&[
-            b"C.GET", key.as_bytes(), id.as_bytes(), b"c=tile-read,t=kvemo-tetri,d=600",
+            b"C.GET",
+            key.as_bytes(),
+            id.as_bytes(),
+            b"c=tile-read,t=kvemo-tetri,d=600",
         ]);
         if stream.write_all(&read).is_err() {
             break;
@@ -69,8 +78,11 @@
 fn half_written(mut stream: TcpStream, number: usize) {
     let id = format!("half-{number}");
     let full = command(&[
-        b"C.SET", b"00000000000000d4", id.as_bytes(),
-        b"c=status-set,t=mta-khevi,d=1000,k=5c0f6e1a2b3d4c59", &vec![b'v'; VALUE],
+        b"C.SET",
+        b"00000000000000d4",
+        id.as_bytes(),
+        b"c=status-set,t=mta-khevi,d=1000,k=5c0f6e1a2b3d4c59",
+        &vec![b'v'; VALUE],
     ]);
     for piece in full[..full.len() - MISSING].chunks(16 * 1024) {
         if stream.write_all(piece).is_err() {
@@ -99,7 +111,9 @@
     sleep(Duration::from_millis(500));
     if with_trouble() {
         let address = balancer.address;
-        record(format!("{HALF_WRITTEN} clients begin to write a command of {VALUE} bytes each"));
+        record(format!(
+            "{HALF_WRITTEN} clients begin to write a command of {VALUE} bytes each"
+        ));
         spawn(move || {
             for number in 0..HALF_WRITTEN {
                 if let Ok(stream) = TcpStream::connect(address) {
@@ -121,7 +135,9 @@
             greatest = memory;
         }
         if memory > limit {
-            record(format!("platform: {memory} KiB are over the limit of {limit} KiB; SIGKILL"));
+            record(format!(
+                "platform: {memory} KiB are over the limit of {limit} KiB; SIGKILL"
+            ));
             signal(balancer.id(), "KILL");
             killed = true;
             break;
@@ -131,17 +147,35 @@
     let crashed = !killed && balancer.has_ended();
     sleep(Duration::from_millis(100));
     end.store(true, Ordering::Relaxed);
-    let results: Vec<(u32, u32)> = usual.into_iter().map(|client| client.join().unwrap()).collect();
+    let results: Vec<(u32, u32)> = usual
+        .into_iter()
+        .map(|client| client.join().unwrap())
+        .collect();
     let answered: u32 = results.iter().map(|result| result.0).sum();
     let lost: u32 = results.iter().map(|result| result.1).sum();
-    record(format!("usual clients: {answered} requests were answered, {lost} were not"));
+    record(format!(
+        "usual clients: {answered} requests were answered, {lost} were not"
+    ));
     balancer.end();
     if killed || crashed {
-        let how = if killed { "was killed for memory" } else { "ended by itself" };
-        finish(BROKEN, &format!("the balancer {how}; {lost} requests of usual clients got no answer"));
+        let how = if killed {
+            "was killed for memory"
+        } else {
+            "ended by itself"
+        };
+        finish(
+            BROKEN,
+            &format!("the balancer {how}; {lost} requests of usual clients got no answer"),
+        );
     }
     if lost > 0 {
-        finish(BROKEN, &format!("{lost} requests of usual clients got no answer"));
+        finish(
+            BROKEN,
+            &format!("{lost} requests of usual clients got no answer"),
+        );
     }
-    finish(HELD, &format!("the balancer stayed within {limit} KiB; all {answered} requests were answered"));
+    finish(
+        HELD,
+        &format!("the balancer stayed within {limit} KiB; all {answered} requests were answered"),
+    );
 }
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -25,18 +25,31 @@
 const SILENCE: Duration = Duration::from_secs(5);
 
 fn behave(received: &Received, stream: &mut TcpStream) -> bool {
-    let length = if received.key.starts_with('b') { LONG_VALUE } else { 4 };
+    let length = if received.key.starts_with('b') {
+        LONG_VALUE
+    } else {
+        4
+    };
     let whole = stream.write_all(&served(&vec![b'v'; length])).is_ok();
     record(format!(
         "tile cache: the answer to {} {}",
         received.id,
-        if whole { "is written whole" } else { "can't be written" }
+        if whole {
+            "is written whole"
+        } else {
+            "can't be written"
+        }
     ));
     true
 }
 
 fn request(key: &str, id: &str) -> Vec<u8> {
-    command(&[b"C.GET", key.as_bytes(), id.as_bytes(), b"c=tile-read,t=kvemo-tetri,d=600"])
+    command(&[
+        b"C.GET",
+        key.as_bytes(),
+        id.as_bytes(),
+        b"c=tile-read,t=kvemo-tetri,d=600",
+    ])
 }
 
 /// One round: returns whether the long value was cut off.
@@ -46,13 +59,21 @@
     let long = format!("long-{round}");
     let next = format!("next-{round}");
     let key = format!("b{round:015x}");
-    prepared(client.write_all(&request(&key, &long)), "the client can't send");
+    prepared(
+        client.write_all(&request(&key, &long)),
+        "the client can't send",
+    );
     record(format!("client: {long} is sent"));
-    let mut writer = prepared(client.try_clone(), "the client's connection can't be shared");
+    let mut writer = prepared(
+        client.try_clone(),
+        "the client's connection can't be shared",
+    );
     let sender = spawn(move || {
         sleep(UNTIL_DRAIN + UNTIL_NEXT);
         let sent = writer.write_all(&request("c000000000000001", &next));
-        record(format!("client: {next} is sent on the same connection ({sent:?})"));
+        record(format!(
+            "client: {next} is sent on the same connection ({sent:?})"
+        ));
     });
     let reader = spawn(move || {
         let answer = read_answer(&mut client, STEP, STEP_PAUSE);
@@ -89,12 +110,20 @@
         .map(|name| (name, start_cache(name, Arc::clone(&behaviour))))
         .collect();
     let discovery = start_discovery(&caches);
-    let limits = Limits { memory_mb: 192, sockets: 1024 };
+    let limits = Limits {
+        memory_mb: 192,
+        sockets: 1024,
+    };
     let balancer = Balancer::start(&caches, discovery, limits);
-    let cut_off = (0..ROUNDS).filter(|round| is_cut_off(&balancer, *round)).count();
+    let cut_off = (0..ROUNDS)
+        .filter(|round| is_cut_off(&balancer, *round))
+        .count();
     balancer.end();
     if cut_off > 0 {
-        finish(BROKEN, &format!("{cut_off} of {ROUNDS} long values were cut off"));
+        finish(
+            BROKEN,
+            &format!("{cut_off} of {ROUNDS} long values were cut off"),
+        );
     }
     finish(HELD, &format!("all {ROUNDS} long values arrived whole"));
 }
--- a/review/common.rs
+++ b/review/common.rs
@@ -83,9 +83,15 @@
         eprintln!("the record can't be written: {e}");
         std::process::exit(NOT_RUN);
     });
-    let record = Record { file: Mutex::new(file), started: Instant::now() };
+    let record = Record {
+        file: Mutex::new(file),
+        started: Instant::now(),
+    };
     let _ = RECORD.set(record);
-    self::record(format!("the case runs {} its disruption", if with_trouble() { "with" } else { "without" }));
+    self::record(format!(
+        "the case runs {} its disruption",
+        if with_trouble() { "with" } else { "without" }
+    ));
     spawn(|| {
         sleep(CASE_TIME_MAX);
         finish(NOT_RUN, "the case took too long");
@@ -181,7 +187,10 @@
 
 /// Starts a tile cache. Returns its address.
 pub fn start_cache(name: &'static str, behaviour: Arc<Behaviour>) -> SocketAddr {
-    let listener = prepared(TcpListener::bind("127.0.0.1:0"), "a tile cache can't listen");
+    let listener = prepared(
+        TcpListener::bind("127.0.0.1:0"),
+        "a tile cache can't listen",
+    );
     let address = prepared(listener.local_addr(), "a tile cache can't listen");
     spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
@@ -194,11 +203,15 @@
 
 fn serve_cache(name: &str, mut stream: TcpStream, behaviour: &Behaviour) {
     let _ = stream.set_nodelay(true);
-    let Ok(input) = stream.try_clone() else { return };
+    let Ok(input) = stream.try_clone() else {
+        return;
+    };
     let mut input = BufReader::new(input);
     while let Some(words) = read_command(&mut input) {
         let text = |index: usize| {
-            words.get(index).map_or(String::new(), |w| String::from_utf8_lossy(w).into_owned())
+            words
+                .get(index)
+                .map_or(String::new(), |w| String::from_utf8_lossy(w).into_owned())
         };
         if words.len() < 4 {
             // A probe.
@@ -207,10 +220,20 @@
             }
             continue;
         }
-        let received = Received { name: text(0), key: text(1), id: text(2) };
-        record(format!("tile cache {name}: {} of request {} has arrived", received.name, received.id));
+        let received = Received {
+            name: text(0),
+            key: text(1),
+            id: text(2),
+        };
+        record(format!(
+            "tile cache {name}: {} of request {} has arrived",
+            received.name, received.id
+        ));
         if !behaviour(&received, &mut stream) {
-            record(format!("tile cache {name}: the connection of request {} is reset", received.id));
+            record(format!(
+                "tile cache {name}: the connection of request {} is reset",
+                received.id
+            ));
             reset(&stream);
             return;
         }
@@ -227,7 +250,13 @@
     const SOL_SOCKET: i32 = 1;
     // SAFETY: the descriptor is open, and the option's value is read from the slice only.
     unsafe {
-        setsockopt(stream.as_raw_fd(), SOL_SOCKET, name, value.as_ptr(), 4 * value.len() as u32);
+        setsockopt(
+            stream.as_raw_fd(),
+            SOL_SOCKET,
+            name,
+            value.as_ptr(),
+            4 * value.len() as u32,
+        );
     }
 }
 
@@ -254,7 +283,10 @@
             )
         })
         .collect();
-    format!("{{\"seq\":{version},\"whole\":true,\"hosts\":[{}]}}", hosts.join(","))
+    format!(
+        "{{\"seq\":{version},\"whole\":true,\"hosts\":[{}]}}",
+        hosts.join(",")
+    )
 }
 
 /// Starts discovery with a list that does not change. Returns its address.
@@ -280,7 +312,8 @@
         }
     }
     let follows = head.contains("follow=1");
-    let begin = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let begin =
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
     write!(stream, "{begin}{:x}\r\n{line}\r\n", line.len()).ok()?;
     while follows {
         sleep(WATCH_KEEPALIVE);
@@ -308,13 +341,19 @@
     /// Starts a balancer with the command `run` of the deploy file, and waits until it answers
     /// `PING` with `+PONG`.
     pub fn start(caches: &[(&str, SocketAddr)], discovery: SocketAddr, limits: Limits) -> Self {
-        let deploy = prepared(std::fs::read_to_string("deploy/balancer.toml"), "no deploy file");
+        let deploy = prepared(
+            std::fs::read_to_string("deploy/balancer.toml"),
+            "no deploy file",
+        );
         let run = deploy
             .lines()
             .find_map(|line| line.strip_prefix("run = \"")?.split('"').next())
             .unwrap_or_else(|| finish(NOT_RUN, "the deploy file has no command `run`"));
         let folder = folder();
-        prepared(std::fs::create_dir_all(folder.join("tmp")), "no temporary folder");
+        prepared(
+            std::fs::create_dir_all(folder.join("tmp")),
+            "no temporary folder",
+        );
         let (address, management) = (free_address(), free_address());
         let config = format!(
             "{{\"name\":\"n1\",\"listen\":\"{address}\",\"discovery\":\"{discovery}\",\"seed\":\"2a\",\
@@ -325,8 +364,14 @@
             list(caches, 40),
         );
         let path = folder.join("config.json");
-        prepared(std::fs::write(&path, config), "the configuration can't be written");
-        let log = prepared(File::create(folder.join("log.txt")), "the log can't be written");
+        prepared(
+            std::fs::write(&path, config),
+            "the configuration can't be written",
+        );
+        let log = prepared(
+            File::create(folder.join("log.txt")),
+            "the log can't be written",
+        );
         let child = Command::new("/bin/sh")
             .args(["-c", run])
             .env("GW_NAME", "n1")
@@ -344,7 +389,12 @@
         let child = prepared(child, "the balancer can't be started");
         RUNNING.lock().unwrap().push(child.id());
         record(format!("started: {run}"));
-        let balancer = Balancer { child, address, management, folder };
+        let balancer = Balancer {
+            child,
+            address,
+            management,
+            folder,
+        };
         let deadline = Instant::now() + Duration::from_secs(15);
         while !balancer.is_ready() {
             if Instant::now() > deadline {
@@ -359,7 +409,9 @@
     }
 
     fn is_ready(&self) -> bool {
-        let Ok(mut stream) = TcpStream::connect(self.address) else { return false };
+        let Ok(mut stream) = TcpStream::connect(self.address) else {
+            return false;
+        };
         let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
         let mut line = [0; 7];
         stream.write_all(&command(&[b"PING"])).is_ok()
