--- a/review/common.rs
+++ b/review/common.rs
@@ -5,6 +5,7 @@
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex, OnceLock};
@@ -241,6 +242,7 @@
 }
 
 extern "C" {
+    fn prctl(option: i32, value: u64) -> i32;
     fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
 }
 
@@ -322,6 +324,17 @@
     stream.write_all(b"0\r\n\r\n").ok()
 }
 
+/// Has this process killed when the case ends, even if the case is killed itself.
+fn end_with_parent() -> std::io::Result<()> {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: u64 = 9;
+    // SAFETY: the call only sets an attribute of this process.
+    match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } {
+        0 => Ok(()),
+        _ => Err(std::io::Error::last_os_error()),
+    }
+}
+
 /// Limits of the balancer, as its configuration gives them.
 #[derive(Clone, Copy)]
 pub struct Limits {
@@ -372,7 +385,8 @@
             File::create(folder.join("log.txt")),
             "the log can't be written",
         );
-        let child = Command::new("/bin/sh")
+        let mut child = Command::new("/bin/sh");
+        child
             .args(["-c", run])
             .env("GW_NAME", "n1")
             .env("GW_CONFIG", &path)
@@ -384,8 +398,9 @@
             .env_remove("GW_SOCKET_FD")
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(log)
-            .spawn();
+            .stderr(log);
+        // SAFETY: prctl is safe to call between fork and exec.
+        let child = unsafe { child.pre_exec(end_with_parent) }.spawn();
         let child = prepared(child, "the balancer can't be started");
         RUNNING.lock().unwrap().push(child.id());
         record(format!("started: {run}"));
