Reproduce sound long values that are cut off before their first bytes, as known red

Callers saw -BUSY at their deadline for reads of long values whose caches had sent the head of the response and were about to send the value. The test plays this on the real program with scripted caches.

Evidence: the second close in each report follows the first by 1/2.5 of the first attempt's age, the ratio of the hedge delay to the attempt timeout; the last close is at the client's deadline.

--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Helpers of the integration tests, which run the program as a separate process.
 #![allow(dead_code)]
 
+pub mod scripted_cache;
+
 use std::ffi::OsStr;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
