No timer ends a response that has begun; long values are forwarded in time

Callers saw -BUSY or -ERR failed for requests whose caches were still answering: reads and receipts over 64 KiB whose bytes came some 100 ms after the head, and smaller ones that paused for over 40 ms.

Cause: three timers meant for silence or for attempts without an answer ended answers that were coming. The attempt timeout ended attempts whose response had begun, the client's deadline ended long values whose head had arrived, and the stall timeouts (40 ms; 500 ms for announced long values) failed a response at its first pause.

Change: the engine is told of the head of a long value (LongValueBegun) and of a stall (ResponseStalled). It has the long value forwarded (ForwardLongValue) 0.5 s after its head, at the latest 25 ms before the deadline, and never rejects or fails a request while one is coming. A stall starts a second attempt beside the first if the class, second_copies and the retry budget permit it; keyed writes too, within their window. The attempt timeout applies until the response begins. A forwarded value that gets no byte for 5 s is aborted as before, which closes the client's connection. A hold for pipelined requests now ends 100 ms earlier, so that its end is in time.

Why it works: no timer closes a connection with a begun response before the client's deadline, and none a long one.

Replaced tests: the exchanges truncated_response and largest_value asserted the faults (a response cut off at its first stall). They now assert the second attempt beside the first, the failure at the deadline, and the forwarded header with the close that ends it. The pool's test of long values asserts the reported stall. The property test of the engine plays heads and stalls: no long value is cancelled or answered over.

--- a/crates/balancer/src/attempt_tracker.rs
+++ b/crates/balancer/src/attempt_tracker.rs
@@ -17,6 +17,9 @@
 /// A long value may be held back for the remaining time of its client divided by this, so that its
 /// first bytes still arrive in time.
 const HOLD_TIME_DIVISOR: Nanos = 2;
+/// Part of the remaining time in which nothing is held back, as the end of a hold is detected up to
+/// 50 ms late.
+const HOLD_TIME_MARGIN: Nanos = 100 * MS;
 /// Maximum time for which a long value may be held back. Clients give up after 2 s without bytes.
 const HOLD_MAX: Nanos = 1_000 * MS;
 
@@ -47,6 +50,17 @@
     pub answer: Option<DueAnswer>,
 }
 
+/// Consequence of the timeout of an attempt whose response has begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BegunResponseTimeout {
+    /// The attempt goes on until this time.
+    Extend(Nanos),
+    /// The attempt goes on, and the engine has its long value forwarded.
+    Forward,
+    /// The attempt ends.
+    End,
+}
+
 /// Stream of the value of a request to its client.
 #[derive(Clone, Copy, Debug)]
 struct ActiveStream {
@@ -118,7 +132,8 @@
     ) -> Option<(Event, DueAnswer)> {
         let context = self.requests.get_mut(&request)?;
         let answer_token = context.answer_token.take()?;
-        let hold_time = (context.deadline.saturating_sub(now) / HOLD_TIME_DIVISOR).min(HOLD_MAX);
+        let time_left = context.deadline.saturating_sub(now + HOLD_TIME_MARGIN);
+        let hold_time = (time_left / HOLD_TIME_DIVISOR).min(HOLD_MAX);
         let event = self.end_attempt(now, request, attempt, AttemptOutcome::Ok, counters)?;
         counters.streamed += 1;
         let client_connection = answer_token.connection;
@@ -131,6 +146,54 @@
         Some((event, (answer_token, answer)))
     }
 
+    /// Records that the head of a long value has arrived for an attempt. Returns the event for the
+    /// engine, or `None` if the request needs no answer any more.
+    pub fn long_value_begun(
+        &mut self,
+        now: Nanos,
+        request: RequestId,
+        attempt: AttemptNumber,
+    ) -> Option<Event> {
+        let context = self.requests.get_mut(&request)?;
+        context.answer_token.as_ref()?;
+        context.attempts.get_mut(&attempt)?.long_value_since = Some(now);
+        Some(Event::LongValueBegun { request, attempt })
+    }
+
+    /// Records that the long value of an attempt is forwarded on the engine's decision. The latency
+    /// of the cache is then that of the head.
+    pub fn forward_long_value(&mut self, request: RequestId, attempt: AttemptNumber) {
+        let context = self.requests.get_mut(&request);
+        if let Some(record) = context.and_then(|context| context.attempts.get_mut(&attempt)) {
+            record.answered_at = record.long_value_since;
+        }
+    }
+
+    /// Returns what follows when the timeout of an attempt passes whose response has begun: no
+    /// timeout ends it before the client's deadline, and none ends a long value that the client still
+    /// waits for.
+    pub fn time_out_begun_response(
+        &mut self,
+        request: RequestId,
+        attempt: AttemptNumber,
+    ) -> BegunResponseTimeout {
+        let Some(context) = self.requests.get_mut(&request) else {
+            return BegunResponseTimeout::End;
+        };
+        let Some(record) = context.attempts.get_mut(&attempt) else {
+            return BegunResponseTimeout::End;
+        };
+        if record.deadline < context.deadline {
+            record.deadline = context.deadline;
+            return BegunResponseTimeout::Extend(context.deadline);
+        }
+        if record.long_value_since.is_some() && context.answer_token.is_some() {
+            BegunResponseTimeout::Forward
+        } else {
+            BegunResponseTimeout::End
+        }
+    }
+
     /// Returns the client connection to which the value of this attempt is being streamed.
     #[must_use]
     pub fn stream_client(&self, request: RequestId, attempt: AttemptNumber) -> Option<u64> {
@@ -249,6 +312,8 @@
             sent_at: now,
             total_stall_at_send: self.total_stall,
             deadline,
+            long_value_since: None,
+            answered_at: None,
             write_deadline: write_within.map_or(Nanos::MAX, |within| now.saturating_add(within)),
         };
         context.attempts.insert(spec.attempt, record);
@@ -332,7 +397,10 @@
         let request_finished = context.answer_token.is_none();
         self.remove_if_finished(request);
         let stalled = self.total_stall - record.total_stall_at_send;
-        let latency = now.saturating_sub(record.sent_at).saturating_sub(stalled);
+        let answered_at = record.answered_at.unwrap_or(now);
+        let latency = answered_at
+            .saturating_sub(record.sent_at)
+            .saturating_sub(stalled);
         log::trace!(
             "request {} attempt {} at endpoint {}: {outcome:?} after {} ms",
             request.0,
--- a/crates/balancer/src/event_loop/decisions.rs
+++ b/crates/balancer/src/event_loop/decisions.rs
@@ -73,6 +73,9 @@
                 self.record_decision(request, DecisionStep::Rejected, &explanation);
                 self.end_request(now, request, FinalAnswer::Rejected { retry_after });
             }
+            Action::ForwardLongValue { request, attempt } => {
+                self.forward_long_value(now, request, attempt);
+            }
             Action::Cancel { request, attempt } => self.cancel_attempt(now, request, attempt),
             Action::HealthCheck(endpoint) => self.start_health_check(now, endpoint),
             Action::CloseIdleConnections(endpoint) => {
--- a/crates/balancer/src/event_loop/responses.rs
+++ b/crates/balancer/src/event_loop/responses.rs
@@ -6,7 +6,7 @@
 use crate::request::FinalAnswer;
 use crate::timers::TimerKind;
 use crate::upstream_pool::{ExchangeResult, UpstreamEvent, UpstreamJob};
-use routing::{AttemptOutcome, Nanos, RequestId};
+use routing::{AttemptNumber, AttemptOutcome, Event, Nanos, RequestId};
 
 /// Long values may be buffered for slow clients up to the memory limit of requests and responses
 /// divided by this.
@@ -19,6 +19,8 @@
                 // The connection of a postponed job is reported as writable by every poll.
                 UpstreamEvent::Connected { job } if self.connected_jobs.contains(&job) => {}
                 UpstreamEvent::Connected { job } => self.connected_jobs.push_back(job),
+                UpstreamEvent::LongValueBegun { job } => self.long_value_begun(now, job),
+                UpstreamEvent::ResponseStalled { job } => self.report_stall(job),
                 UpstreamEvent::StreamStarted { job, length } => {
                     self.start_streaming(now, job, length);
                 }
@@ -45,6 +47,45 @@
         }
     }
 
+    /// Reports to the engine that the head of a long value has arrived, or cancels the attempt if its
+    /// request needs no answer any more.
+    fn long_value_begun(&mut self, now: Nanos, job: UpstreamJob) {
+        let UpstreamJob::Attempt(request, attempt) = job else {
+            return;
+        };
+        match self.attempt_tracker.long_value_begun(now, request, attempt) {
+            Some(event) => self.pending_events.push(event),
+            None => self.abandon_unneeded(now, request, attempt),
+        }
+    }
+
+    fn report_stall(&mut self, job: UpstreamJob) {
+        if let UpstreamJob::Attempt(request, attempt) = job {
+            let event = Event::ResponseStalled { request, attempt };
+            self.pending_events.push(event);
+        }
+    }
+
+    /// Begins to stream the long value of an attempt on the engine's decision, however little of it
+    /// has arrived.
+    pub(super) fn forward_long_value(
+        &mut self,
+        now: Nanos,
+        request: RequestId,
+        attempt: AttemptNumber,
+    ) {
+        let mut events = Vec::new();
+        self.attempt_tracker.forward_long_value(request, attempt);
+        self.upstream_pool.start_stream(
+            now,
+            UpstreamJob::Attempt(request, attempt),
+            &mut self.timers,
+            &mut events,
+            &mut self.counters,
+        );
+        self.handle_upstream_events(now, events);
+    }
+
     /// Starts streaming a long value whose first bytes have arrived, or cancels the attempt if its
     /// request needs no answer any more.
     fn start_streaming(&mut self, now: Nanos, job: UpstreamJob, length: usize) {
@@ -59,7 +100,14 @@
             self.pending_events.push(event);
             return self.send_answer(now, answer);
         }
-        // Another attempt has completed the request, or the client has disconnected.
+        self.abandon_unneeded(now, request, attempt);
+    }
+
+    /// Cancels an attempt whose request another attempt has completed, or whose client has
+    /// disconnected.
+    fn abandon_unneeded(&mut self, now: Nanos, request: RequestId, attempt: AttemptNumber) {
+        self.timers.cancel(TimerKind::Attempt(request, attempt));
+        let job = UpstreamJob::Attempt(request, attempt);
         self.upstream_pool.abandon(job, &mut self.counters);
         let outcome = AttemptOutcome::Cancelled;
         let ended =
--- a/crates/balancer/src/event_loop/timeouts.rs
+++ b/crates/balancer/src/event_loop/timeouts.rs
@@ -1,6 +1,7 @@
 //! Handling of expired timers.
 
 use super::EventLoop;
+use crate::attempt_tracker::BegunResponseTimeout;
 use crate::timers::{MS, TimerKind};
 use crate::upstream_pool::UpstreamJob;
 use routing::{AttemptNumber, AttemptOutcome, Event, Nanos, RequestId};
@@ -27,6 +28,19 @@
 
     fn attempt_timed_out(&mut self, now: Nanos, request: RequestId, attempt: AttemptNumber) {
         let job = UpstreamJob::Attempt(request, attempt);
+        if self.upstream_pool.has_response_begun(job) {
+            match self
+                .attempt_tracker
+                .time_out_begun_response(request, attempt)
+            {
+                BegunResponseTimeout::Extend(deadline) => {
+                    let timer = TimerKind::Attempt(request, attempt);
+                    return self.timers.set(deadline, timer);
+                }
+                BegunResponseTimeout::Forward => return,
+                BegunResponseTimeout::End => {}
+            }
+        }
         // A command that was not sent completely has not run, so the request may be retried.
         let outcome = if self.upstream_pool.is_unsent(job) {
             AttemptOutcome::ConnectFailed
--- a/crates/balancer/src/request.rs
+++ b/crates/balancer/src/request.rs
@@ -112,8 +112,12 @@
     pub sent_at: Nanos,
     /// Total stall time of the process at `sent_at`.
     pub total_stall_at_send: Nanos,
-    /// Time at which the attempt times out.
+    /// Time at which the attempt times out; the client's deadline once its response has begun.
     pub deadline: Nanos,
+    /// Time at which the head of a long value arrived; `None` if it has not.
+    pub long_value_since: Option<Nanos>,
+    /// Time at which the cache answered, if that was before the end of the attempt.
+    pub answered_at: Option<Nanos>,
     /// Latest time at which writing the command may start; later the attempt is not sent.
     pub write_deadline: Nanos,
 }
--- a/crates/balancer/src/response_stream.rs
+++ b/crates/balancer/src/response_stream.rs
@@ -6,11 +6,29 @@
     parse_response_tail,
 };
 
-/// Minimum number of bytes of a value that must have arrived before forwarding begins. Most
-/// unreadable responses show their fault within these bytes, while another attempt can still
-/// replace them.
+/// Minimum number of bytes of a value that must have arrived before forwarding begins, unless it
+/// has to begin at once. Most unreadable responses show their fault within these bytes, while
+/// another attempt can still replace them.
 const START_THRESHOLD: usize = 4 * 1024;
 
+/// When the forwarding of a long value begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamStart {
+    /// When 4 KiB of the value have arrived.
+    AtThreshold,
+    /// When its header has arrived.
+    Immediate,
+}
+
+impl StreamStart {
+    fn min_length(self) -> usize {
+        match self {
+            StreamStart::AtThreshold => START_THRESHOLD,
+            StreamStart::Immediate => 0,
+        }
+    }
+}
+
 /// State of a value that is being forwarded.
 #[derive(Debug)]
 pub struct ResponseStream {
@@ -40,12 +58,12 @@
 }
 
 impl ResponseStream {
-    /// Begins to forward a value if it is long and at least 4 KiB of it have arrived. Returns the
-    /// stream and the value's length. The header is removed from `input`; the bytes of the value
-    /// remain.
-    pub fn begin(input: &mut Vec<u8>) -> Option<(Self, usize)> {
+    /// Begins to forward a value if it is long and as much of it has arrived as `stream_start` requires.
+    /// Returns the stream and the value's length. The header is removed from `input`; the bytes of
+    /// the value remain.
+    pub fn begin(input: &mut Vec<u8>, stream_start: StreamStart) -> Option<(Self, usize)> {
         let (start, length) = long_value_start(input)?;
-        if input.len() - start < START_THRESHOLD {
+        if input.len() - start < stream_start.min_length() {
             return None;
         }
         input.drain(..start);
--- a/crates/balancer/src/response_stream/tests.rs
+++ b/crates/balancer/src/response_stream/tests.rs
@@ -24,7 +24,8 @@
     for piece in pieces {
         input.extend_from_slice(piece);
         if stream.is_none()
-            && let Some((started, announced)) = ResponseStream::begin(&mut input)
+            && let Some((started, announced)) =
+                ResponseStream::begin(&mut input, StreamStart::AtThreshold)
         {
             (stream, length) = (Some(started), Some(announced));
         }
@@ -92,7 +93,7 @@
             (VALUE_MAX + 1..=RESPONSE_VALUE_MAX).contains(&length)
         );
         assert_eq!(
-            ResponseStream::begin(&mut input).is_some(),
+            ResponseStream::begin(&mut input, StreamStart::AtThreshold).is_some(),
             is_streamed,
             "{length}"
         );
--- a/crates/balancer/src/upstream_pool.rs
+++ b/crates/balancer/src/upstream_pool.rs
@@ -287,7 +287,34 @@
         }
     }
 
-    /// Fails the job of a connection whose response has begun and makes no progress.
+    /// Returns whether the response to a job has begun to arrive.
+    #[must_use]
+    pub fn has_response_begun(&self, job: UpstreamJob) -> bool {
+        let connection = self.jobs.get(&job).and_then(|n| self.connections.get(n));
+        connection.is_some_and(UpstreamConnection::has_response_begun)
+    }
+
+    /// Begins to forward the long value of a job, however little of it has arrived.
+    pub fn start_stream(
+        &mut self,
+        now: Nanos,
+        job: UpstreamJob,
+        timers: &mut Timers,
+        events: &mut Vec<UpstreamEvent>,
+        counters: &mut Counters,
+    ) {
+        let Some(number) = self.jobs.get(&job).copied() else {
+            return;
+        };
+        if let Some(connection) = self.connections.get_mut(&number) {
+            connection.stream_at_once();
+            self.process_input(number, now, timers, events, counters);
+        }
+    }
+
+    /// Handles a response that has begun and makes no progress. A long value that is being forwarded
+    /// is aborted, so that its client detects that it is incomplete; a health check fails. Any other
+    /// response may still arrive, so its stall is only reported.
     pub fn handle_stall_timeout(
         &mut self,
         now: Nanos,
@@ -296,9 +323,15 @@
         counters: &mut Counters,
     ) {
         let connection = self.connections.get(&number);
-        if connection.is_some_and(|c| c.is_stalled(now)) {
-            counters.upstream_stalled += 1;
-            self.fail(number, ExchangeResult::Unreadable, events, counters);
+        let Some(connection) = connection.filter(|c| c.is_stalled(now)) else {
+            return;
+        };
+        counters.upstream_stalled += 1;
+        match connection.job() {
+            Some(job @ UpstreamJob::Attempt(..)) if !connection.is_streaming() => {
+                events.push(UpstreamEvent::ResponseStalled { job });
+            }
+            _ => self.fail(number, ExchangeResult::Unreadable, events, counters),
         }
     }
 
@@ -400,11 +433,30 @@
             Ok(received) => self.buffered_bytes += received,
             Err(result) => return self.fail(number, result, events, counters),
         }
-        let Some(job) = connection.job() else {
+        if connection.job().is_none() {
             // An idle connection must not receive anything. The bytes could be mistaken for the
             // response to its next job.
             self.close(number, counters);
             return;
+        }
+        self.process_input(number, now, timers, events, counters);
+    }
+
+    /// Parses the received bytes of a connection with a job, and sets its stall timer if the
+    /// response is incomplete.
+    fn process_input(
+        &mut self,
+        number: ConnectionId,
+        now: Nanos,
+        timers: &mut Timers,
+        events: &mut Vec<UpstreamEvent>,
+        counters: &mut Counters,
+    ) {
+        let Some(connection) = self.connections.get_mut(&number) else {
+            return;
+        };
+        let Some(job) = connection.job() else {
+            return;
         };
         let before = connection.input.len();
         let parsed = connection.parse(job, events);
@@ -415,7 +467,7 @@
             Ok(None) if self.buffered_bytes <= self.max_buffered_bytes => {
                 if !connection.has_unwritten_bytes() {
                     timers.set(
-                        now + connection.stall_timeout(),
+                        connection.last_progress + connection.stall_timeout(),
                         TimerKind::ResponseStall(number),
                     );
                 }
--- a/crates/balancer/src/upstream_pool/connection.rs
+++ b/crates/balancer/src/upstream_pool/connection.rs
@@ -4,24 +4,24 @@
 use super::reply::{ParsedReply, parse_reply};
 use crate::poll::{Interest, Registered};
 use crate::resp::RespError;
-use crate::response_stream::{ResponseStream, StreamTail, has_long_value};
+use crate::response_stream::{ResponseStream, StreamStart, StreamTail, has_long_value};
 use crate::timers::MS;
 use routing::{EndpointId, Nanos};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
-/// Minimum time without progress after which a response that has begun counts as truncated. Caches
-/// send a response without pauses, and its parts arrive within a round trip of each other.
+/// Minimum time without progress after which a response that has begun counts as stalled. Caches
+/// send most responses without pauses, and the parts arrive within a round trip of each other.
 pub(super) const STALL_TIMEOUT: Nanos = 40 * MS;
 /// Number of round trips without progress after which the response of a distant cache counts as
-/// truncated. The resulting time is limited to [`STREAM_START_STALL_TIMEOUT`]: the measured round
+/// stalled. The resulting time is limited to [`STREAM_START_STALL_TIMEOUT`]: the measured round
 /// trip is too long if the only connection so far was delayed while it was established.
 pub(super) const STALL_ROUND_TRIPS: u64 = 3;
 /// Stall timeout of a long value of which nothing has been forwarded yet. Long values may arrive
 /// slowly.
 pub(super) const STREAM_START_STALL_TIMEOUT: Nanos = 500 * MS;
-/// Stall timeout of a long value of which a part has been forwarded. It is long, as no other
-/// attempt can replace the value any more.
+/// Stall timeout of a long value that is being forwarded, after which it is aborted. It is long, as
+/// no other attempt can replace the value any more.
 pub(super) const STREAM_STALL_TIMEOUT: Nanos = 5_000 * MS;
 
 /// State of a connection.
@@ -57,8 +57,12 @@
     pub(super) last_progress: Nanos,
     /// Stall timeout of a response that is not a long value; set when the command is written.
     pub(super) response_stall_timeout: Nanos,
+    /// When the forwarding of a long value begins.
+    stream_start: StreamStart,
     /// Long value that is being forwarded.
     stream: Option<ResponseStream>,
+    /// Whether the head of a long value has been reported.
+    has_reported_long_value: bool,
     /// Whether reading is paused because the client can't accept more.
     pub(super) paused: bool,
 }
@@ -84,7 +88,9 @@
             jobs: 1,
             last_progress: now,
             response_stall_timeout: STALL_TIMEOUT,
+            stream_start: StreamStart::AtThreshold,
             stream: None,
+            has_reported_long_value: false,
             paused: false,
         }
     }
@@ -112,7 +118,9 @@
         self.command = Vec::new();
         (self.command_length, self.written) = (0, 0);
         self.input = Vec::new();
+        self.stream_start = StreamStart::AtThreshold;
         self.stream = None;
+        self.has_reported_long_value = false;
     }
 
     pub(super) fn job(&self) -> Option<UpstreamJob> {
@@ -155,11 +163,24 @@
         }
     }
 
+    /// Returns whether the response has begun and is incomplete.
+    pub(super) fn has_response_begun(&self) -> bool {
+        self.job().is_some() && (self.stream.is_some() || !self.input.is_empty())
+    }
+
+    /// Returns whether a long value is being forwarded.
+    pub(super) fn is_streaming(&self) -> bool {
+        self.stream.is_some()
+    }
+
+    /// Begins to forward a long value as soon as its header has arrived.
+    pub(super) fn stream_at_once(&mut self) {
+        self.stream_start = StreamStart::Immediate;
+    }
+
     /// Returns whether the response has begun, is incomplete and has exceeded its stall timeout.
     pub(super) fn is_stalled(&self, now: Nanos) -> bool {
-        let has_begun = self.stream.is_some() || !self.input.is_empty();
-        has_begun
-            && self.job().is_some()
+        self.has_response_begun()
             && !self.paused
             && now >= self.last_progress + self.stall_timeout()
     }
@@ -242,12 +263,8 @@
         events: &mut Vec<UpstreamEvent>,
     ) -> Result<Option<ParsedReply>, RespError> {
         let may_stream = !self.has_unwritten_bytes() && matches!(job, UpstreamJob::Attempt(..));
-        if self.stream.is_none()
-            && may_stream
-            && let Some((stream, length)) = ResponseStream::begin(&mut self.input)
-        {
-            self.stream = Some(stream);
-            events.push(UpstreamEvent::StreamStarted { job, length });
+        if self.stream.is_none() && may_stream {
+            self.begin_stream(job, events);
         }
         let Some(stream) = &mut self.stream else {
             return parse_reply(job, &self.input);
@@ -263,6 +280,17 @@
         }))
     }
 
+    /// Begins to forward a long value if enough of it has arrived, or reports its head.
+    fn begin_stream(&mut self, job: UpstreamJob, events: &mut Vec<UpstreamEvent>) {
+        if let Some((stream, length)) = ResponseStream::begin(&mut self.input, self.stream_start) {
+            self.stream = Some(stream);
+            events.push(UpstreamEvent::StreamStarted { job, length });
+        } else if !self.has_reported_long_value && has_long_value(&self.input) {
+            self.has_reported_long_value = true;
+            events.push(UpstreamEvent::LongValueBegun { job });
+        }
+    }
+
     /// Pauses or resumes reading.
     ///
     /// # Errors
--- a/crates/balancer/src/upstream_pool/exchange.rs
+++ b/crates/balancer/src/upstream_pool/exchange.rs
@@ -60,6 +60,17 @@
         /// Result of the job.
         result: ExchangeResult,
     },
+    /// The head of a long value has arrived, and too little of the value to stream it. Either
+    /// [`UpstreamEvent::StreamStarted`] or the completion of the job follows.
+    LongValueBegun {
+        /// Job to which the value belongs.
+        job: UpstreamJob,
+    },
+    /// A response that has begun, and is not streamed, makes no progress. The job goes on.
+    ResponseStalled {
+        /// Job to which the response belongs.
+        job: UpstreamJob,
+    },
     /// A long value has begun to arrive. Its chunks and the completion of the job follow.
     StreamStarted {
         /// Job to which the value belongs.
--- a/crates/balancer/src/upstream_pool/tests/responses.rs
+++ b/crates/balancer/src/upstream_pool/tests/responses.rs
@@ -64,8 +64,17 @@
     test.handle_ready(0);
     stream.write_all(b"*3\r\n$70000\r\n").unwrap();
     test.handle_ready(0);
+    assert_eq!(test.events, [UpstreamEvent::LongValueBegun { job }]);
+    test.events.clear();
     test.handle_stall_timeout(STREAM_START_STALL_TIMEOUT - 1);
     assert_eq!(test.events, [], "a long value may arrive slowly");
+    test.handle_stall_timeout(STREAM_START_STALL_TIMEOUT);
+    assert_eq!(
+        test.events,
+        [UpstreamEvent::ResponseStalled { job }],
+        "its stall is reported, and does not end it"
+    );
+    test.events.clear();
     stream.write_all(&[b'x'; 5_000]).unwrap();
     test.handle_ready(0);
     let chunk = UpstreamEvent::StreamChunk {
@@ -97,7 +106,7 @@
     test.handle_stall_timeout(2 * STREAM_STALL_TIMEOUT);
     assert_eq!(
         (test.take_results(), test.counters.upstream_stalled),
-        (vec![ExchangeResult::Unreadable], 1)
+        (vec![ExchangeResult::Unreadable], 2)
     );
 }
 
--- a/crates/routing/src/actions.rs
+++ b/crates/routing/src/actions.rs
@@ -97,7 +97,8 @@
         attempt: AttemptNumber,
         /// Endpoint that receives the attempt.
         endpoint: EndpointId,
-        /// Timeout of the attempt; with `None` it lasts until the client's timeout.
+        /// Time within which the response has to begin; with `None` the client's timeout. A
+        /// response that has begun is not ended by this timeout.
         timeout: Option<Nanos>,
         /// Maximum time until the first byte is written; if it cannot be kept, the attempt must not
         /// be sent, because endpoints would no longer discard it as a repeat. `None` sets no bound.
@@ -128,6 +129,14 @@
         /// Reason, with the values it is based on.
         explanation: Explanation,
     },
+    /// Forward the long value of this attempt from now on, however little of it has arrived. The
+    /// attempt then ends successfully and completes the request.
+    ForwardLongValue {
+        /// Identifier of the request.
+        request: RequestId,
+        /// Number of the attempt within the request.
+        attempt: AttemptNumber,
+    },
     /// Cancel an attempt that is in flight.
     Cancel {
         /// Identifier of the request.
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -9,6 +9,7 @@
 mod housekeeping;
 mod retries;
 mod selection;
+mod slow_responses;
 mod state_transfer;
 
 use crate::actions::Action;
@@ -114,6 +115,16 @@
                     engine.on_response_started(request, attempt);
                 });
             }
+            Event::LongValueBegun { request, attempt } => {
+                self.update_request(request, |engine, request| {
+                    engine.on_long_value_begun(request, attempt);
+                });
+            }
+            Event::ResponseStalled { request, attempt } => {
+                self.update_request(request, |engine, request| {
+                    engine.on_response_stalled(request, attempt);
+                });
+            }
             Event::ClientDisconnected(id) => {
                 self.update_request(id, |engine, request| engine.close(request, None));
             }
@@ -150,6 +161,9 @@
             Some(TimerPurpose::Hedge(id)) => {
                 self.update_request(id, Engine::on_overdue);
             }
+            Some(TimerPurpose::FirstBytes(id)) => {
+                self.update_request(id, Engine::on_first_bytes_due);
+            }
             Some(TimerPurpose::Housekeeping) => self.housekeeping(),
             Some(TimerPurpose::DiscoveryQuery) => self.actions.push(Action::QueryDiscovery),
             None => {}
--- a/crates/routing/src/engine/answers.rs
+++ b/crates/routing/src/engine/answers.rs
@@ -10,9 +10,13 @@
 use crate::request_queue::max_wait;
 
 impl Engine {
-    /// Ends a request without an answer from an endpoint: rejects it if a retry by the client is
-    /// certain to be harmless, otherwise fails it.
+    /// Ends a request without a complete answer from an endpoint: forwards the long value that has
+    /// begun, if there is one. Otherwise rejects the request if a retry by the client is certain to
+    /// be harmless, and fails it if not.
     pub(super) fn reject_or_fail(&mut self, request: &mut Request, reason: DecisionReason) {
+        if self.forward_long_value(request) {
+            return;
+        }
         self.admission.record_rejection(reason);
         let explanation = self.explain(request, reason);
         let id = request.details.id;
--- a/crates/routing/src/engine/attempts.rs
+++ b/crates/routing/src/engine/attempts.rs
@@ -118,6 +118,8 @@
             sent_at: self.now,
             outcome: None,
             is_to_origin: matches!(target, Target::Origin(_)),
+            long_value_since: None,
+            is_stalled: false,
         });
         request.queued = None;
         self.actions.push(Action::Send {
@@ -133,7 +135,7 @@
         }
     }
 
-    fn may_hedge(&self, request: &Request) -> bool {
+    pub(super) fn may_hedge(&self, request: &Request) -> bool {
         let class = self.settings.class(request.details.class);
         class.idempotency == Idempotency::Idempotent
             && !request.is_hedged
@@ -144,8 +146,8 @@
         self.set_timer(after, TimerPurpose::Hedge(request.details.id));
     }
 
-    /// Returns the timeout of the next attempt. An attempt that will most likely never be answered
-    /// is abandoned as long as another attempt may follow.
+    /// Returns the time within which the response to the next attempt has to begin. An attempt that
+    /// will most likely never be answered is abandoned as long as another attempt may follow.
     fn attempt_timeout(&self, request: &Request) -> Option<Nanos> {
         let time_left = request.deadline.saturating_sub(self.now);
         let abandon_after = self.hedging.abandon_after();
@@ -221,7 +223,7 @@
     }
 
     /// Sets another hedge timer, because the candidates' lack of capacity is temporary.
-    fn postpone_hedge(&mut self, request: &Request) {
+    pub(super) fn postpone_hedge(&mut self, request: &Request) {
         let time_left = request.deadline.saturating_sub(self.now);
         let delay = self.hedging.delay(time_left).max(self.settings.tick);
         if delay < time_left {
--- a/crates/routing/src/engine/retries.rs
+++ b/crates/routing/src/engine/retries.rs
@@ -25,7 +25,11 @@
         }
         if result.request_finished || request.is_closed {
             self.close(request, None);
-        } else if result.outcome == AttemptOutcome::InvalidRequest {
+        } else if self.are_first_bytes_due(request) && self.forward_long_value(request) {
+            // The attempt that ended was to be forwarded; another one takes its place.
+        } else if result.outcome == AttemptOutcome::InvalidRequest
+            && request.latest_long_value().is_none()
+        {
             let explanation = self.explain(request, DecisionReason::InvalidRequest);
             let answer = Action::Fail {
                 request: request.details.id,
@@ -38,6 +42,8 @@
             self.advance(request);
         } else if request.in_flight() == 0 {
             self.retry(request, result.outcome);
+        } else {
+            self.back_up_stalled(request);
         }
     }
 
--- a/crates/routing/src/engine/selection.rs
+++ b/crates/routing/src/engine/selection.rs
@@ -55,7 +55,7 @@
     }
 
     /// Selects an available candidate by placement. An endpoint beyond the candidates is selected
-    /// only if no candidate is usable, and never for a hedge.
+    /// only if no candidate is usable, and never beside an attempt in flight.
     pub(super) fn select_endpoint(&mut self, request: &Request, kind: AttemptKind) -> Selection {
         let mut available = Vec::new();
         let mut shortage = None;
@@ -77,7 +77,7 @@
             return Selection::AtCapacity(reason);
         }
         match kind {
-            AttemptKind::Hedge => Selection::NoneEligible,
+            AttemptKind::Hedge | AttemptKind::StallBackup => Selection::NoneEligible,
             AttemptKind::Regular => self.select_beyond_candidates(request),
         }
     }
--- a/crates/routing/src/engine/tests/origin_protection.rs
+++ b/crates/routing/src/engine/tests/origin_protection.rs
@@ -128,6 +128,8 @@
                 sent_at: 0,
                 outcome: None,
                 is_to_origin: false,
+                long_value_since: None,
+                is_stalled: false,
             }],
             slot: 0,
             ..open_read(1)
--- a/crates/routing/src/events.rs
+++ b/crates/routing/src/events.rs
@@ -204,6 +204,21 @@
         /// Number of the attempt within the request.
         attempt: AttemptNumber,
     },
+    /// The head of a long value has arrived: the attempt succeeds unless its endpoint breaks off.
+    /// Nothing of it has reached the client yet.
+    LongValueBegun {
+        /// Identifier of the request.
+        request: RequestId,
+        /// Number of the attempt within the request.
+        attempt: AttemptNumber,
+    },
+    /// A response that has begun has made no progress for some time. The attempt goes on.
+    ResponseStalled {
+        /// Identifier of the request.
+        request: RequestId,
+        /// Number of the attempt within the request.
+        attempt: AttemptNumber,
+    },
     /// The client disconnected; the request no longer needs an answer.
     ClientDisconnected(RequestId),
     /// A health check ended.
--- a/crates/routing/src/idempotency.rs
+++ b/crates/routing/src/idempotency.rs
@@ -13,6 +13,8 @@
     Regular,
     /// A second attempt of a read while the first is in flight.
     Hedge,
+    /// A second attempt while the response to the first is stalled.
+    StallBackup,
 }
 
 /// Returns whether a request may be rejected. A rejection tells the client that a retry is
@@ -58,9 +60,13 @@
     kind: AttemptKind,
 ) -> bool {
     let is_idempotent = idempotency == Idempotency::Idempotent;
+    let is_keyed = matches!(idempotency, Idempotency::Keyed { .. });
     match request.in_flight() {
         0 => is_idempotent || kind == AttemptKind::Regular,
-        1 => is_idempotent && capabilities.hedging,
+        1 => {
+            let is_repeatable = is_idempotent || is_keyed && kind == AttemptKind::StallBackup;
+            is_repeatable && capabilities.hedging
+        }
         _ => false,
     }
 }
--- a/crates/routing/src/request.rs
+++ b/crates/routing/src/request.rs
@@ -13,6 +13,10 @@
     /// Outcome; `None` while the attempt is in flight.
     pub(crate) outcome: Option<AttemptOutcome>,
     pub(crate) is_to_origin: bool,
+    /// Time at which the head of a long value arrived; `None` if it has not.
+    pub(crate) long_value_since: Option<Nanos>,
+    /// Whether the response has begun and made no progress for some time.
+    pub(crate) is_stalled: bool,
 }
 
 impl Attempt {
@@ -87,6 +91,21 @@
         attempts.filter(|attempt| attempt.is_in_flight()).count()
     }
 
+    /// Returns the attempt in flight whose long value has begun last. If several have begun, the
+    /// others have been silent for longer.
+    pub(crate) fn latest_long_value(&self) -> Option<AttemptNumber> {
+        let attempts = (0..).map(AttemptNumber).zip(&self.attempts);
+        let begun = attempts.filter(|(_, attempt)| attempt.is_in_flight());
+        let begun = begun.filter_map(|(number, attempt)| Some((attempt.long_value_since?, number)));
+        begun.max().map(|(_, number)| number)
+    }
+
+    /// Returns whether exactly one attempt is in flight, and its response is stalled.
+    pub(crate) fn awaits_stalled_response(&self) -> bool {
+        let mut in_flight = self.attempts.iter().filter(|a| a.is_in_flight());
+        in_flight.next().is_some_and(|attempt| attempt.is_stalled) && in_flight.next().is_none()
+    }
+
     /// Returns the attempt with this number if it is in flight.
     pub(crate) fn in_flight_attempt(&mut self, number: AttemptNumber) -> Option<&mut Attempt> {
         self.attempts
--- a/crates/routing/src/timers.rs
+++ b/crates/routing/src/timers.rs
@@ -11,6 +11,8 @@
     Deadline(RequestId),
     /// The request's attempt becomes overdue and may be hedged.
     Hedge(RequestId),
+    /// The request's long value has to be forwarded, however little of it has arrived.
+    FirstBytes(RequestId),
     /// Periodic housekeeping is due.
     Housekeeping,
     /// The next call to discovery is due.
--- a/crates/routing/tests/properties.rs
+++ b/crates/routing/tests/properties.rs
@@ -29,6 +29,12 @@
     StartResponse {
         selector: usize,
     },
+    BeginLongValue {
+        selector: usize,
+    },
+    Stall {
+        selector: usize,
+    },
     Disconnect {
         selector: usize,
     },
@@ -60,6 +66,8 @@
         8 => (any::<usize>(), 0..10usize, any::<bool>())
             .prop_map(|(selector, outcome, is_hit)| Step::EndAttempt { selector, outcome, is_hit }),
         1 => any::<usize>().prop_map(|selector| Step::StartResponse { selector }),
+        1 => any::<usize>().prop_map(|selector| Step::BeginLongValue { selector }),
+        1 => any::<usize>().prop_map(|selector| Step::Stall { selector }),
         1 => any::<usize>().prop_map(|selector| Step::Disconnect { selector }),
         2 => (1..8u64, 0..3usize, any::<bool>())
             .prop_map(|(id, state, is_restart)| Step::ChangeEndpoint { id, state, is_restart }),
@@ -94,6 +102,8 @@
     endpoint: u64,
     sent_at: Nanos,
     outcome: Option<AttemptOutcome>,
+    has_long_value: bool,
+    is_stalled: bool,
 }
 
 impl ObservedAttempt {
@@ -145,6 +155,8 @@
     /// Whether each endpoint of the list is active.
     active_by_endpoint: BTreeMap<u64, bool>,
     actions: Vec<Action>,
+    /// Attempts whose long values are to be forwarded.
+    forwarded: Vec<InFlight>,
 }
 
 impl CheckedBalancer {
@@ -159,6 +171,7 @@
             timers: TimerQueue::default(),
             active_by_endpoint: BTreeMap::new(),
             actions: Vec::new(),
+            forwarded: Vec::new(),
         }
     }
 
@@ -184,7 +197,18 @@
                 Action::Cancel { request, attempt } => {
                     assert!(self.settings.capabilities.cancellation);
                     let attempts = &self.requests[&request.0].attempts;
-                    assert!((attempt.0 as usize) < attempts.len());
+                    let attempt = &attempts[attempt.0 as usize];
+                    assert!(
+                        !attempt.has_long_value || self.requests[&request.0].is_answered(),
+                        "cancelled a long value that the client waits for"
+                    );
+                }
+                Action::ForwardLongValue { request, attempt } => {
+                    let number = attempt.0 as usize;
+                    let request = request.0;
+                    let forwarded = &self.requests[&request].attempts[number];
+                    assert!(forwarded.has_long_value && forwarded.is_in_flight());
+                    self.forwarded.push(InFlight { request, number });
                 }
                 Action::SetTimer { after, token } => self.timers.push(self.now + after, *token),
                 Action::HealthCheck(endpoint) => {
@@ -197,6 +221,9 @@
             }
         }
         self.actions.extend(actions);
+        while let Some(forwarded) = self.forwarded.pop() {
+            self.end_attempt(forwarded, AttemptOutcome::Ok, false);
+        }
     }
 
     fn check_rejection(&mut self, id: u128, retry_after: Nanos) {
@@ -235,7 +262,16 @@
         );
         let attempts = request.attempts.iter();
         let in_flight = attempts.filter(|attempt| attempt.is_in_flight()).count();
-        let may_hedge = capabilities.hedging && idempotency == Idempotency::Idempotent;
+        let is_beside_stalled = request
+            .attempts
+            .iter()
+            .any(|attempt| attempt.is_in_flight() && attempt.is_stalled);
+        let may_repeat = match idempotency {
+            Idempotency::Idempotent => true,
+            Idempotency::Keyed { .. } => is_beside_stalled,
+            Idempotency::NotIdempotent => false,
+        };
+        let may_hedge = capabilities.hedging && may_repeat;
         assert!(
             in_flight == 0 || in_flight == 1 && may_hedge,
             "sent a concurrent attempt that is not allowed"
@@ -245,6 +281,8 @@
             endpoint,
             sent_at: now,
             outcome: None,
+            has_long_value: false,
+            is_stalled: false,
         });
     }
 
@@ -256,6 +294,11 @@
             !request.is_finished && !request.is_streaming,
             "answered a completed or streaming request"
         );
+        let mut in_flight = request.attempts.iter().filter(|a| a.is_in_flight());
+        assert!(
+            !in_flight.any(|attempt| attempt.has_long_value),
+            "answered a request whose long value has begun"
+        );
         request.final_answers += 1;
         assert_eq!(request.final_answers, 1, "a request got two final answers");
         assert!(now <= latest, "answered after the deadline and its grace");
@@ -343,6 +386,8 @@
                     self.start_response(started);
                 }
             }
+            Step::BeginLongValue { selector } => self.begin_long_value(*selector),
+            Step::Stall { selector } => self.stall(*selector),
             Step::Disconnect { selector } => self.disconnect(*selector),
             Step::ChangeEndpoint {
                 id,
@@ -404,6 +449,30 @@
         }
     }
 
+    fn begin_long_value(&mut self, selector: usize) {
+        let Some(begun) = self.select_in_flight(selector) else {
+            return;
+        };
+        let request = self.request_mut(begun.request);
+        if request.is_open() && !request.is_streaming {
+            request.attempts[begun.number].has_long_value = true;
+            self.handle(Event::LongValueBegun {
+                request: RequestId(begun.request),
+                attempt: AttemptNumber(begun.number as u32),
+            });
+        }
+    }
+
+    fn stall(&mut self, selector: usize) {
+        if let Some(stalled) = self.select_in_flight(selector) {
+            self.request_mut(stalled.request).attempts[stalled.number].is_stalled = true;
+            self.handle(Event::ResponseStalled {
+                request: RequestId(stalled.request),
+                attempt: AttemptNumber(stalled.number as u32),
+            });
+        }
+    }
+
     fn disconnect(&mut self, selector: usize) {
         let requests = self.requests.iter();
         let open: Vec<u128> = requests
--- a/crates/simulator-adapter/src/wire/outbox.rs
+++ b/crates/simulator-adapter/src/wire/outbox.rs
@@ -51,7 +51,8 @@
     /// wire.
     pub fn new(instance: &'a str, action: Action) -> Option<Self> {
         let action = match action {
-            Action::Defer { .. } => return None,
+            // The simulator itself forwards long values; it reports none to the engine.
+            Action::Defer { .. } | Action::ForwardLongValue { .. } => return None,
             Action::Send {
                 request,
                 endpoint,
