An invalid answer of one attempt no longer ends the answer of another

Callers could get -ERR failed while a sound cache was sending their answer: any error line other than -BUSY and -ERR failed counted as the request's own fault and closed the request, with its other attempt in flight. A cache whose answers are spoilt sends such lines too.

The request now fails for this reason only if no other attempt is in flight.

--- a/crates/routing/src/engine/retries.rs
+++ b/crates/routing/src/engine/retries.rs
@@ -27,9 +27,7 @@
             self.close(request, None);
         } else if self.are_first_bytes_due(request) && self.forward_long_value(request) {
             // The attempt that ended was to be forwarded; another one takes its place.
-        } else if result.outcome == AttemptOutcome::InvalidRequest
-            && request.latest_long_value().is_none()
-        {
+        } else if result.outcome == AttemptOutcome::InvalidRequest && request.in_flight() == 0 {
             let explanation = self.explain(request, DecisionReason::InvalidRequest);
             let answer = Action::Fail {
                 request: request.details.id,
--- a/crates/routing/src/engine/tests.rs
+++ b/crates/routing/src/engine/tests.rs
@@ -12,6 +12,7 @@
 mod request_lifecycle;
 mod request_queue;
 mod retries;
+mod slow_responses;
 mod slow_start;
 mod state_transfer;
 
