Scarce memory pauses responses of caches and fails none; closes are logged with reasons

Callers could get -ERR failed or -BUSY for answers that were coming: once all incomplete responses together exceeded an eighth of the memory limit, the next response to receive bytes was failed as unreadable, forwarded long values included. A few slow or silent caches could so cut off the answers of others.

Now reading of a response over its share is paused until others are complete; the longest is read on, so that one after another completes. Replies to health checks still fail. The test response_over_the_buffer_limit_is_paused_and _read_on_later could not pass before: the second response was Unreadable.

Where the log could not tell why a connection was closed, it now does (debug): reason, bytes written, whether a response had begun, and the client's id for each request.

--- a/crates/balancer/src/attempt_tracker.rs
+++ b/crates/balancer/src/attempt_tracker.rs
@@ -401,7 +401,7 @@
         let latency = answered_at
             .saturating_sub(record.sent_at)
             .saturating_sub(stalled);
-        log::trace!(
+        log::debug!(
             "request {} attempt {} at endpoint {}: {outcome:?} after {} ms",
             request.0,
             attempt.0,
--- a/crates/balancer/src/event_loop/admission.rs
+++ b/crates/balancer/src/event_loop/admission.rs
@@ -5,6 +5,7 @@
 use crate::listener::resp::ListenerEvent;
 use crate::request::{FinalAnswer, IncomingRequest, REQUEST_OVERHEAD};
 use crate::timers::MS;
+use crate::upstream_pool::CloseReason;
 use routing::{Event, Nanos, RequestId};
 use std::collections::VecDeque;
 
@@ -45,7 +46,9 @@
                 .flush(connection, now, &mut events, &mut self.counters);
             return events;
         }
-        log::trace!(
+        log::debug!(
+            id:% = incoming.command.request_id.escape_ascii(),
+            client = incoming.answer_token.connection,
             class = incoming.class.as_str(),
             tenant = incoming.tenant.as_deref(),
             client_timeout_ms = incoming.client_timeout / MS;
@@ -109,7 +112,8 @@
     fn handle_client_disconnect(&mut self, now: Nanos, request: RequestId) {
         if let Some(job) = self.attempt_tracker.stream_job(request) {
             self.attempt_tracker.end_stream(request);
-            self.upstream_pool.abandon(job, &mut self.counters);
+            self.upstream_pool
+                .abandon(job, CloseReason::ClientDisconnected, &mut self.counters);
         } else {
             self.attempt_tracker.client_disconnected(now, request);
             self.pending_events.push(Event::ClientDisconnected(request));
--- a/crates/balancer/src/event_loop/dispatch.rs
+++ b/crates/balancer/src/event_loop/dispatch.rs
@@ -6,7 +6,7 @@
 use crate::poll_timestamps::PollTimestamps;
 use crate::resp::write_command;
 use crate::timers::{MS, TimerKind};
-use crate::upstream_pool::{OutboundCommand, UpstreamJob};
+use crate::upstream_pool::{CloseReason, OutboundCommand, UpstreamJob};
 use routing::{AttemptNumber, AttemptOutcome, EndpointId, Event, Nanos, RequestId};
 
 /// Timeout of a health check.
@@ -65,7 +65,8 @@
                 .end_attempt(now, request, attempt, outcome, &mut self.counters)
         {
             self.timers.cancel(TimerKind::Attempt(request, attempt));
-            self.upstream_pool.abandon(job, &mut self.counters);
+            self.upstream_pool
+                .abandon(job, CloseReason::Cancelled, &mut self.counters);
             self.pending_events.push(event);
         }
     }
@@ -144,7 +145,8 @@
                 if let UpstreamJob::Attempt(request, attempt) = job {
                     self.timers.cancel(TimerKind::Attempt(request, attempt));
                 }
-                self.upstream_pool.abandon(job, &mut self.counters);
+                self.upstream_pool
+                    .abandon(job, CloseReason::NotSent, &mut self.counters);
                 self.pending_events.extend(not_sent.map(|event| *event));
             }
         }
--- a/crates/balancer/src/event_loop/readiness.rs
+++ b/crates/balancer/src/event_loop/readiness.rs
@@ -24,6 +24,7 @@
         self.process_discovery(now, ready);
         let clients = self.process_upstreams(now, ready);
         self.process_timers(now);
+        self.upstream_pool.resume_inputs(now, &mut self.timers);
         self.process_clients(now, clients);
         if outcome == PollOutcome::Completed {
             self.update_catch_up();
--- a/crates/balancer/src/event_loop/responses.rs
+++ b/crates/balancer/src/event_loop/responses.rs
@@ -5,7 +5,7 @@
 use crate::listener::resp::{ListenerEvent, MemoryPressure, StreamEnd};
 use crate::request::FinalAnswer;
 use crate::timers::TimerKind;
-use crate::upstream_pool::{ExchangeResult, UpstreamEvent, UpstreamJob};
+use crate::upstream_pool::{CloseReason, ExchangeResult, UpstreamEvent, UpstreamJob};
 use routing::{AttemptNumber, AttemptOutcome, Event, Nanos, RequestId};
 
 /// Long values may be buffered for slow clients up to the memory limit of requests and responses
@@ -108,7 +108,8 @@
     fn abandon_unneeded(&mut self, now: Nanos, request: RequestId, attempt: AttemptNumber) {
         self.timers.cancel(TimerKind::Attempt(request, attempt));
         let job = UpstreamJob::Attempt(request, attempt);
-        self.upstream_pool.abandon(job, &mut self.counters);
+        self.upstream_pool
+            .abandon(job, CloseReason::Unneeded, &mut self.counters);
         let outcome = AttemptOutcome::Cancelled;
         let ended =
             self.attempt_tracker
--- a/crates/balancer/src/event_loop/timeouts.rs
+++ b/crates/balancer/src/event_loop/timeouts.rs
@@ -3,7 +3,7 @@
 use super::EventLoop;
 use crate::attempt_tracker::BegunResponseTimeout;
 use crate::timers::{MS, TimerKind};
-use crate::upstream_pool::UpstreamJob;
+use crate::upstream_pool::{CloseReason, UpstreamJob};
 use routing::{AttemptNumber, AttemptOutcome, Event, Nanos, RequestId};
 
 /// Interval between checks for connections that are idle or incomplete for too long.
@@ -51,15 +51,19 @@
             self.attempt_tracker
                 .end_attempt(now, request, attempt, outcome, &mut self.counters)
         {
-            self.upstream_pool.abandon(job, &mut self.counters);
+            self.upstream_pool
+                .abandon(job, CloseReason::TimedOut, &mut self.counters);
             self.pending_events.push(event);
         }
     }
 
     fn health_check_timed_out(&mut self, number: u64) {
         if let Some(event) = self.attempt_tracker.time_out_health_check(number) {
-            self.upstream_pool
-                .abandon(UpstreamJob::HealthCheck(number), &mut self.counters);
+            self.upstream_pool.abandon(
+                UpstreamJob::HealthCheck(number),
+                CloseReason::TimedOut,
+                &mut self.counters,
+            );
             self.pending_events.push(event);
         }
     }
--- a/crates/balancer/src/upstream_pool.rs
+++ b/crates/balancer/src/upstream_pool.rs
@@ -2,11 +2,14 @@
 //! job closes its connection and so affects no other job, and no response waits for a slower one.
 
 mod address_book;
+mod close_reason;
 mod connection;
 mod exchange;
 mod idle;
+mod input_memory;
 mod reply;
 
+pub use close_reason::CloseReason;
 pub use exchange::{ExchangeResult, OutboundCommand, UpstreamEvent, UpstreamJob};
 
 use crate::counters::Counters;
@@ -15,11 +18,12 @@
 use crate::poll::{EventSource, Interest, Poll, Readiness};
 use crate::timers::{TimerKind, Timers};
 use address_book::{AddressBook, AddressChange};
+use close_reason::log_close;
 use connection::{ConnectionState, UpstreamConnection};
 use exchange::ConnectError;
 use reply::ParsedReply;
 use routing::{EndpointId, Nanos};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 
@@ -45,6 +49,8 @@
     /// Total number of bytes of incomplete responses.
     buffered_bytes: usize,
     max_buffered_bytes: usize,
+    /// Connections whose responses are not read for lack of memory.
+    paused_inputs: BTreeSet<ConnectionId>,
     /// Idle time after which a connection is closed, shorter than the timeout of the endpoint.
     idle_timeout: Nanos,
     /// Buffer of one read, shared by all connections.
@@ -77,6 +83,7 @@
             idle_timeout: idle_timeout / 4 * 3,
             buffered_bytes: 0,
             max_buffered_bytes: usize::MAX,
+            paused_inputs: BTreeSet::new(),
             scratch: vec![0; READ_SIZE],
             read_size: READ_SIZE,
         }
@@ -87,8 +94,8 @@
         self.max_connections = max_connections;
     }
 
-    /// Sets the maximum total number of bytes of incomplete responses. A response that exceeds it
-    /// counts as unreadable.
+    /// Sets the maximum total number of bytes of incomplete responses. Reading of a response that
+    /// exceeds it is paused; the reply to a health check counts as unreadable.
     pub fn set_max_buffered_bytes(&mut self, bytes: usize) {
         self.max_buffered_bytes = bytes;
     }
@@ -260,18 +267,10 @@
     }
 
     /// Abandons a job by closing its connection. No further event is reported for the job.
-    pub fn abandon(&mut self, job: UpstreamJob, counters: &mut Counters) {
-        let Some(number) = self.jobs.get(&job).copied() else {
-            return;
-        };
-        if let Some(c) = self.connections.get(&number) {
-            log::trace!(
-                connection = number, begun = !c.is_assigned(), jobs = c.jobs,
-                written = c.written, of = c.command_length, received = c.input.len();
-                "{job:?} abandoned at endpoint {}", c.endpoint.0
-            );
+    pub fn abandon(&mut self, job: UpstreamJob, reason: CloseReason, counters: &mut Counters) {
+        if let Some(number) = self.jobs.get(&job).copied() {
+            self.close(number, reason, counters);
         }
-        self.close(number, counters);
     }
 
     /// Fails the job of a connection that was not established in time.
@@ -425,10 +424,11 @@
         events: &mut Vec<UpstreamEvent>,
         counters: &mut Counters,
     ) {
+        let read_size = self.input_read_size();
         let Some(connection) = self.connections.get_mut(&number) else {
             return;
         };
-        match connection.receive(now, &mut self.scratch[..self.read_size]) {
+        match connection.receive(now, &mut self.scratch[..read_size]) {
             Ok(0) => return,
             Ok(received) => self.buffered_bytes += received,
             Err(result) => return self.fail(number, result, events, counters),
@@ -436,7 +436,7 @@
         if connection.job().is_none() {
             // An idle connection must not receive anything. The bytes could be mistaken for the
             // response to its next job.
-            self.close(number, counters);
+            self.close(number, CloseReason::UnexpectedInput, counters);
             return;
         }
         self.process_input(number, now, timers, events, counters);
@@ -461,31 +461,52 @@
         let before = connection.input.len();
         let parsed = connection.parse(job, events);
         self.buffered_bytes -= before - connection.input.len();
+        let is_health_check = matches!(job, UpstreamJob::HealthCheck(_));
+        // The parser limits each message; this limits the total of all incomplete responses.
+        let over_limit = self.is_input_over_limit();
         match parsed {
             Ok(Some(reply)) => self.complete(number, job, reply, now, events, counters),
-            // The parser limits each message; this limits the total of all incomplete responses.
-            Ok(None) if self.buffered_bytes <= self.max_buffered_bytes => {
-                if !connection.has_unwritten_bytes() {
-                    timers.set(
-                        connection.last_progress + connection.stall_timeout(),
-                        TimerKind::ResponseStall(number),
-                    );
-                }
-            }
-            Ok(None) | Err(_) => {
-                let length = connection.input.len().min(LOGGED_BYTES);
-                log::debug!(
-                    "endpoint {}: unreadable response, beginning with: {}",
-                    connection.endpoint.0,
-                    connection.input[..length].escape_ascii()
-                );
-                counters.upstream_unreadable += 1;
-                let result = connection.result_if_unreadable();
-                self.fail(number, result, events, counters);
+            Ok(None) if is_health_check && over_limit => {
+                self.fail_unreadable(number, events, counters);
             }
+            Ok(None) => self.await_rest(now, number, timers),
+            Err(_) => self.fail_unreadable(number, events, counters),
         }
     }
 
+    /// Sets the stall timer of an incomplete response, or pauses the response for lack of memory.
+    fn await_rest(&mut self, now: Nanos, number: ConnectionId, timers: &mut Timers) {
+        if self.pause_over_limit(now, number) {
+            return;
+        }
+        let connection = self.connections.get(&number);
+        if let Some(connection) = connection.filter(|c| !c.has_unwritten_bytes()) {
+            let stalls_at = connection.last_progress + connection.stall_timeout();
+            timers.set(stalls_at, TimerKind::ResponseStall(number));
+        }
+    }
+
+    /// Fails the job of a connection whose response violates the protocol.
+    fn fail_unreadable(
+        &mut self,
+        number: ConnectionId,
+        events: &mut Vec<UpstreamEvent>,
+        counters: &mut Counters,
+    ) {
+        let Some(connection) = self.connections.get(&number) else {
+            return;
+        };
+        let length = connection.input.len().min(LOGGED_BYTES);
+        log::debug!(
+            "endpoint {}: unreadable response, beginning with: {}",
+            connection.endpoint.0,
+            connection.input[..length].escape_ascii()
+        );
+        counters.upstream_unreadable += 1;
+        let result = connection.result_if_unreadable();
+        self.fail(number, result, events, counters);
+    }
+
     /// Completes a job whose reply has arrived. The connection becomes idle, or is closed if it
     /// can't carry another job. It can't if the reply arrived before the whole command was written,
     /// lacks its end or is followed by further bytes: the start of the next reply is then unknown.
@@ -525,15 +546,22 @@
         events: &mut Vec<UpstreamEvent>,
         counters: &mut Counters,
     ) {
-        if let Some(job) = self.close(number, counters) {
+        if let Some(job) = self.close(number, CloseReason::from(&result), counters) {
             events.push(UpstreamEvent::Completed { job, result });
         }
     }
 
     /// Closes a connection. Returns its job, if it had one.
-    fn close(&mut self, number: ConnectionId, counters: &mut Counters) -> Option<UpstreamJob> {
+    fn close(
+        &mut self,
+        number: ConnectionId,
+        reason: CloseReason,
+        counters: &mut Counters,
+    ) -> Option<UpstreamJob> {
         let connection = self.connections.remove(&number)?;
+        log_close(number, &connection, connection.job(), reason);
         self.buffered_bytes -= connection.input.len();
+        self.paused_inputs.remove(&number);
         counters.upstream_closed += 1;
         self.endpoints
             .remove_connection(connection.endpoint, number);
--- a/crates/balancer/src/upstream_pool/idle.rs
+++ b/crates/balancer/src/upstream_pool/idle.rs
@@ -3,7 +3,7 @@
 
 use super::connection::UpstreamConnection;
 use super::exchange::{ConnectError, UpstreamJob};
-use super::{ConnectionId, UpstreamPool};
+use super::{CloseReason, ConnectionId, UpstreamPool};
 use crate::counters::Counters;
 use crate::poll::sockets::is_open_without_input;
 use crate::timers::MS;
@@ -37,7 +37,7 @@
                     return true;
                 }
                 _ => {
-                    self.close(number, counters);
+                    self.close(number, CloseReason::UnexpectedInput, counters);
                 }
             }
         }
@@ -90,14 +90,14 @@
         let Some((_, number)) = idle.min() else {
             return false;
         };
-        self.close(number, counters);
+        self.close(number, CloseReason::Idle, counters);
         true
     }
 
     /// Closes all idle connections to an endpoint.
     pub fn close_idle(&mut self, endpoint: EndpointId, counters: &mut Counters) {
         for number in self.endpoints.take_all_idle(endpoint) {
-            self.close(number, counters);
+            self.close(number, CloseReason::Idle, counters);
         }
     }
 
@@ -108,7 +108,7 @@
             since.is_some_and(|since| now.saturating_sub(since) >= self.idle_timeout)
         };
         for number in self.connections_where(is_expired) {
-            self.close(number, counters);
+            self.close(number, CloseReason::Idle, counters);
         }
     }
 }
--- a/crates/balancer/src/upstream_pool/tests.rs
+++ b/crates/balancer/src/upstream_pool/tests.rs
@@ -162,8 +162,11 @@
         },
         // The pool reports no event for an abandoned job: the caller knows that it has ended.
         |test| {
-            test.pool
-                .abandon(UpstreamJob::HealthCheck(1), &mut test.counters);
+            test.pool.abandon(
+                UpstreamJob::HealthCheck(1),
+                CloseReason::TimedOut,
+                &mut test.counters,
+            );
             test.events.push(UpstreamEvent::Completed {
                 job: UpstreamJob::HealthCheck(1),
                 result: ExchangeResult::ConnectFailed,
--- a/crates/balancer/src/upstream_pool/tests/responses.rs
+++ b/crates/balancer/src/upstream_pool/tests/responses.rs
@@ -50,11 +50,54 @@
         test.pool.buffered_bytes, 608,
         "the bytes of a failed job are released"
     );
-    test.pool
-        .abandon(UpstreamJob::HealthCheck(1), &mut test.counters);
+    test.pool.abandon(
+        UpstreamJob::HealthCheck(1),
+        CloseReason::TimedOut,
+        &mut test.counters,
+    );
     assert_eq!(test.pool.buffered_bytes, 0);
 }
 
+/// Guards against a response of a healthy cache that is cut off because others hold the memory.
+#[test]
+fn response_over_the_buffer_limit_is_paused_and_read_on_later() {
+    let mut test = PoolTest::start();
+    test.pool.set_max_buffered_bytes(40_000);
+    let mut streams = Vec::new();
+    for number in 0..2 {
+        let job = UpstreamJob::Attempt(RequestId(number), AttemptNumber(0));
+        test.dispatch_job(job, b"one".to_vec());
+        streams.push(test.listener.accept().unwrap().0);
+        test.handle_ready(number as u64);
+    }
+    let response = b"*3\r\n$30000\r\n";
+    let rest = [&[b'x'; 1_000][..], b"\r\n$3\r\nhit\r\n$-1\r\n"].concat();
+    for (stream, number) in streams.iter_mut().zip([0, 1]) {
+        let beginning = [&response[..], &[b'x'; 29_000]].concat();
+        stream.write_all(&beginning).unwrap();
+        // Reads are short while memory is scarce.
+        (0..16).for_each(|_| test.handle_ready(number));
+    }
+    assert_eq!(
+        (test.take_results(), test.pool.paused_inputs.len()),
+        (vec![], 1)
+    );
+    for (stream, number) in streams.iter_mut().zip([0, 1]) {
+        stream.write_all(&rest).unwrap();
+        test.pool.resume_inputs(test.now, &mut test.timers);
+        (0..16).for_each(|_| test.handle_ready(number));
+        let results = test.take_results();
+        assert!(
+            matches!(results[..], [ExchangeResult::Response(_)]),
+            "{results:?}"
+        );
+    }
+    assert_eq!(
+        (test.pool.buffered_bytes, test.pool.paused_inputs.len()),
+        (0, 0)
+    );
+}
+
 #[test]
 fn long_value_is_streamed_and_does_not_stall_while_paused() {
     let mut test = PoolTest::start();
