A write whose client has left and sends it once more is not forwarded again

Callers saw a write that must not run twice run twice: a client that meets a closed connection sends the request once more with the same id, and the balancer knew the id only while the first request was open.

A repeat gets -ERR a request with this id was forwarded before; a request of which nothing was written is not recorded.

The two processes of a hot restart share the ids through ring files in $TMPDIR. A process records an id first, then asks the kernel whether the client is still connected, and then writes the command: a client that leaves after the check finds the id at the other process, and one that left before it has nothing forwarded. So no order of events forwards a request at both.

--- a/crates/balancer/src/attempt_tracker.rs
+++ b/crates/balancer/src/attempt_tracker.rs
@@ -110,12 +110,18 @@
     }
 
     /// Adds a request. Its deadline counts from the earliest time at which it can have arrived.
-    pub fn add_request(&mut self, incoming: IncomingRequest) {
+    /// `is_idempotent` is whether it may run more than once without harm.
+    pub fn add_request(&mut self, incoming: IncomingRequest, is_idempotent: bool) {
         let deadline = incoming.arrived_at.saturating_add(incoming.client_timeout);
         self.buffered_bytes += incoming.command.byte_size();
         self.client_ids.insert(incoming.command.request_id.clone());
         let id = incoming.answer_token.request;
-        let context = RequestContext::new(incoming.answer_token, incoming.command, deadline);
+        let context = RequestContext::new(
+            incoming.answer_token,
+            incoming.command,
+            is_idempotent,
+            deadline,
+        );
         self.requests.insert(id, context);
     }
 
@@ -234,6 +240,23 @@
         Some(self.requests.get(&request)?.deadline.saturating_sub(now))
     }
 
+    /// Returns whether a tracked request may run more than once without harm.
+    #[must_use]
+    pub fn is_idempotent(&self, request: RequestId) -> bool {
+        let context = self.requests.get(&request);
+        context.is_some_and(|context| context.is_idempotent)
+    }
+
+    /// Returns the client's id of a request that must not run twice, when it is forwarded for the
+    /// first time.
+    pub fn take_id_to_record(&mut self, request: RequestId) -> Option<Vec<u8>> {
+        let context = self.requests.get_mut(&request)?;
+        if context.is_idempotent || std::mem::replace(&mut context.is_id_recorded, true) {
+            return None;
+        }
+        Some(context.command.request_id.clone())
+    }
+
     /// Returns the client connection that waits for the answer to a request.
     #[must_use]
     pub fn waiting_client(&self, request: RequestId) -> Option<u64> {
--- a/crates/balancer/src/attempt_tracker/tests.rs
+++ b/crates/balancer/src/attempt_tracker/tests.rs
@@ -42,14 +42,17 @@
         request_id: b"i".to_vec(),
         fields: Vec::new(),
     };
-    tracker.add_request(incoming(
-        AnswerToken {
-            request: RequestId(1),
-            connection: 0,
-        },
-        9_000 * MS,
-        command,
-    ));
+    tracker.add_request(
+        incoming(
+            AnswerToken {
+                request: RequestId(1),
+                connection: 0,
+            },
+            9_000 * MS,
+            command,
+        ),
+        true,
+    );
     tracker.set_total_stall(40 * MS);
     let first = (RequestId(1), AttemptNumber(0));
     assert!(
@@ -87,7 +90,7 @@
         request: RequestId(1),
         connection: 0,
     };
-    tracker.add_request(incoming(answer_token, 100 * MS, command));
+    tracker.add_request(incoming(answer_token, 100 * MS, command), true);
     assert!(tracker.is_request_id_in_use(b"i") && !tracker.is_request_id_in_use(b"j"));
     let first = (RequestId(1), AttemptNumber(0));
     assert!(
@@ -137,7 +140,7 @@
             request: RequestId(1),
             connection: 0,
         };
-        tracker.add_request(incoming(answer_token, client_timeout, command));
+        tracker.add_request(incoming(answer_token, client_timeout, command), true);
         // For caches that respond within 0.1 ms the engine sets timeouts of less than a
         // millisecond.
         let first = (RequestId(1), AttemptNumber(0));
--- a/crates/balancer/src/counters.rs
+++ b/crates/balancer/src/counters.rs
@@ -91,6 +91,8 @@
     unknown_class,
     /// Requests with the id of a request that is still open.
     duplicate_id,
+    /// Requests that must not run twice with the id of one that was forwarded recently.
+    repeated_id,
     /// Requests rejected without being passed to the engine, because the limit of memory or of open
     /// requests was reached.
     rejected_at_limits,
--- a/crates/balancer/src/event_loop.rs
+++ b/crates/balancer/src/event_loop.rs
@@ -26,6 +26,7 @@
 use crate::counters::Counters;
 use crate::discovery::DiscoveryClient;
 use crate::engine_adapter::EngineAdapter;
+use crate::forwarded_ids::ForwardedIds;
 use crate::gossip::GossipTransport;
 use crate::hot_restart::HotRestart;
 use crate::lifecycle::Lifecycle;
@@ -89,6 +90,8 @@
     /// unavailable.
     process_slots: Option<ProcessSlots>,
     hot_restart: HotRestart,
+    /// Ids of forwarded requests that must not run twice.
+    forwarded_ids: ForwardedIds,
 }
 
 impl EventLoop {
--- a/crates/balancer/src/event_loop/admission.rs
+++ b/crates/balancer/src/event_loop/admission.rs
@@ -6,7 +6,7 @@
 use crate::request::{FinalAnswer, IncomingRequest, REQUEST_OVERHEAD};
 use crate::timers::MS;
 use crate::upstream_pool::CloseReason;
-use routing::{Event, Nanos, RequestId};
+use routing::{ClassId, Event, Idempotency, Nanos, RequestId};
 use std::collections::VecDeque;
 
 impl EventLoop {
@@ -37,7 +37,8 @@
             incoming.client_timeout = incoming.client_timeout.min(time_left);
         }
         let event = self.engine.request_event(&incoming);
-        if let Some(answer) = self.rejection(&incoming, event.is_some()) {
+        let class = event.as_ref().and_then(class_of);
+        if let Some(answer) = self.rejection(&incoming, class) {
             // Calling `send_answer` here would recurse for each command of a long pipeline.
             let mut events = Vec::new();
             let connection = incoming.answer_token.connection;
@@ -55,29 +56,44 @@
             "request {} admitted", incoming.answer_token.request.0
         );
         self.pending_events.extend(event);
-        self.attempt_tracker.add_request(incoming);
+        let is_idempotent = class.is_some_and(|class| self.is_idempotent(class));
+        self.attempt_tracker.add_request(incoming, is_idempotent);
         Vec::new()
     }
 
+    /// Returns whether requests of a class may run more than once without harm.
+    fn is_idempotent(&self, class: ClassId) -> bool {
+        let class = self.config.settings.classes.get(class.0);
+        class.is_some_and(|class| class.idempotency == Idempotency::Idempotent)
+    }
+
     /// Returns the answer to a request that is not admitted, or `None` if the request is admitted.
     ///
     /// A request of an unknown class, or with the id of an open request, must not be forwarded: the
     /// cache would confuse the two requests, or respond with an error that the engine would count
-    /// against that cache.
+    /// against that cache. Nor must the repeat of a request that must not run twice.
     fn rejection(
         &mut self,
         incoming: &IncomingRequest,
-        is_class_known: bool,
+        class: Option<ClassId>,
     ) -> Option<FinalAnswer> {
-        if !is_class_known {
+        let Some(class) = class else {
             self.counters.unknown_class += 1;
-            Some(FinalAnswer::Invalid("unknown class"))
-        } else if self
+            return Some(FinalAnswer::Invalid("unknown class"));
+        };
+        if self
             .attempt_tracker
             .is_request_id_in_use(&incoming.command.request_id)
         {
             self.counters.duplicate_id += 1;
             Some(FinalAnswer::Invalid("a request with this id is open"))
+        } else if !self.is_idempotent(class)
+            && self.forwarded_ids.contains(&incoming.command.request_id)
+        {
+            self.counters.repeated_id += 1;
+            Some(FinalAnswer::Invalid(
+                "a request with this id was forwarded before",
+            ))
         } else if self.is_over_limits(incoming) {
             self.counters.rejected_at_limits += 1;
             Some(FinalAnswer::Rejected { retry_after: 0 })
@@ -120,3 +136,11 @@
         }
     }
 }
+
+/// Returns the class of a request event.
+fn class_of(event: &Event) -> Option<ClassId> {
+    match event {
+        Event::RequestArrived(request) => Some(request.class),
+        _ => None,
+    }
+}
--- a/crates/balancer/src/event_loop/dispatch.rs
+++ b/crates/balancer/src/event_loop/dispatch.rs
@@ -161,6 +161,16 @@
         match job {
             UpstreamJob::Attempt(request, attempt) => {
                 self.check_client_connection(now, request);
+                let command = self.attempt_tracker.encode_command(
+                    now,
+                    request,
+                    attempt,
+                    &mut self.counters,
+                )?;
+                if self.record_forwarding(now, request) {
+                    return Ok(command);
+                }
+                // The client has disconnected, so this returns the end of the attempt.
                 self.attempt_tracker
                     .encode_command(now, request, attempt, &mut self.counters)
             }
@@ -172,6 +182,44 @@
         }
     }
 
+    /// Records the id of a request that must not run twice and is about to be forwarded. Returns
+    /// whether it may be. During a hot restart a client that has disconnected may already repeat the
+    /// request at the other process. Therefore the id is recorded first, and then the kernel is asked
+    /// whether the client is still connected: a repeat that is sent later finds the id.
+    fn record_forwarding(&mut self, now: Nanos, request: RequestId) -> bool {
+        if self.attempt_tracker.is_idempotent(request) {
+            return true;
+        }
+        let recorded = self.attempt_tracker.take_id_to_record(request);
+        if let Some(id) = &recorded {
+            self.forwarded_ids.add(id);
+        }
+        if !self.hot_restart.has_other() {
+            return true;
+        }
+        let is_connected = self.confirm_client_connection(now, request);
+        if let Some(id) = recorded.filter(|_| !is_connected) {
+            self.forwarded_ids.retract(&id);
+        }
+        is_connected
+    }
+
+    /// Asks the kernel whether the client of a request is still connected.
+    fn confirm_client_connection(&mut self, now: Nanos, request: RequestId) -> bool {
+        let Some(connection) = self.attempt_tracker.waiting_client(request) else {
+            return false;
+        };
+        let mut events = Vec::new();
+        let is_connected = self.listener.confirm_client_connected(
+            connection,
+            now,
+            &mut events,
+            &mut self.counters,
+        );
+        self.handle_listener_events(now, events);
+        is_connected
+    }
+
     /// Checks whether the client of a request is still connected, and handles a disconnect that has
     /// not been read yet, so that no attempt is sent for a disconnected client.
     fn check_client_connection(&mut self, now: Nanos, request: RequestId) {
--- a/crates/balancer/src/event_loop/hot_restart.rs
+++ b/crates/balancer/src/event_loop/hot_restart.rs
@@ -21,6 +21,7 @@
                 is_serving: self.lifecycle.is_ready(),
             },
         );
+        self.forwarded_ids.set_own_slot(slots.own_slot());
         if actions.apply_limits {
             log::info!(
                 "another process of this balancer is running: {}; adjusting the limits",
--- a/crates/balancer/src/event_loop/startup.rs
+++ b/crates/balancer/src/event_loop/startup.rs
@@ -11,6 +11,7 @@
 use crate::counters::Counters;
 use crate::discovery::{DiscoveryClient, EndpointList};
 use crate::engine_adapter::EngineAdapter;
+use crate::forwarded_ids::ForwardedIds;
 use crate::hot_restart::HotRestart;
 use crate::lifecycle::{Lifecycle, SocketOwnership};
 use crate::listener::admin::{AdminListener, FleetEndpoint};
@@ -108,7 +109,9 @@
             address: config.listen,
             source,
         };
+        let process_slots = take_process_slot(&config, now);
         Ok(EventLoop {
+            forwarded_ids: forwarded_ids(&config, process_slots.as_ref()),
             signals: SignalPipes::register(&poll).map_err(StartupError::Signals)?,
             listener: RespListener::listen(
                 &poll,
@@ -118,7 +121,7 @@
                 poll_timestamps,
             )
             .map_err(listen_error)?,
-            process_slots: take_process_slot(&config, now),
+            process_slots,
             hot_restart: HotRestart::new(),
             discovery: DiscoveryClient::new(&poll, config.discovery, watch_backoff(&config)),
             upstream_pool: UpstreamPool::new(
@@ -225,6 +228,21 @@
         .ok()
 }
 
+/// Returns the record of forwarded ids, shared with the other process if hot restart is available.
+fn forwarded_ids(config: &Config, slots: Option<&ProcessSlots>) -> ForwardedIds {
+    let mut ids = ForwardedIds::default();
+    if let (Some(slots), Some(directory)) = (slots, &config.hot_restart_directory)
+        && let Err(e) = ids.share(directory, slots.own_slot())
+    {
+        log::warn!(
+            "the ids of forwarded requests can't be shared through $TMPDIR {}: {e}; a request may \
+             run twice if its client repeats it at the other process of a hot restart",
+            directory.display()
+        );
+    }
+    ids
+}
+
 fn admin_listener(config: &Config, poll: &Poll) -> Result<Option<AdminListener>, StartupError> {
     let Some(address) = config.management else {
         return Ok(None);
--- a/crates/balancer/src/event_loop/tests/hot_restart.rs
+++ b/crates/balancer/src/event_loop/tests/hot_restart.rs
@@ -1,6 +1,6 @@
 //! Two processes of one balancer during a hot restart.
 
-use super::harness::{DEFAULTS, Harness, UPSTREAM_0};
+use super::harness::{CLIENT_0, DEFAULTS, Harness, UPSTREAM_0, read_command};
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 use std::os::fd::IntoRawFd;
@@ -171,3 +171,43 @@
     assert_eq!(old.event_loop.memory_limit, 2 * full_limit);
     old.accept_and_answer(pair.connect_ping_client(), "+PONG\r\n");
 }
+
+const UNSAFE_WRITE: &[u8] =
+    b"*5\r\n$5\r\nC.SET\r\n$1\r\na\r\n$1\r\n1\r\n$14\r\nc=once,d=50000\r\n$5\r\nvalue\r\n";
+
+/// Guards against a request that runs at both processes: its client leaves the old one and sends it
+/// to the new one.
+#[test]
+fn request_forwarded_by_one_process_is_not_forwarded_by_the_other() {
+    let pair = HotRestartPair::new("forwarded-id");
+    let (mut old, mut new) = pair.start_both();
+    let (_, _cache) = old.forward_request("once", 50_000);
+    old.clients.clear();
+    let client = new.connect_client();
+    new.clients[client].write_all(UNSAFE_WRITE).unwrap();
+    new.turn(&[CLIENT_0]);
+    new.expect_answer(
+        client,
+        "-ERR a request with this id was forwarded before\r\n",
+    );
+    assert_eq!(new.event_loop.counters.attempts, 0);
+}
+
+/// The client disconnects after the last poll of the old process, right before the command is
+/// written.
+#[test]
+fn request_whose_client_has_gone_to_the_other_process_is_not_forwarded() {
+    let pair = HotRestartPair::new("client-gone");
+    let (mut old, mut new) = pair.start_both();
+    old.send_request("once", 50_000);
+    let ready = old.wait(UPSTREAM_0);
+    old.clients.clear();
+    old.process(vec![ready]);
+    assert_eq!(old.event_loop.counters.attempts_not_sent, 1);
+    let client = new.connect_client();
+    new.clients[client].write_all(UNSAFE_WRITE).unwrap();
+    new.turn(&[CLIENT_0]);
+    new.turn(&[UPSTREAM_0]);
+    let (_, mut cache) = new.next_connection();
+    assert!(read_command(&mut cache).contains("C.SET"));
+}
--- a/crates/balancer/src/listener/resp.rs
+++ b/crates/balancer/src/listener/resp.rs
@@ -133,9 +133,22 @@
         } else {
             connection.presence.last_confirmed()
         };
-        if PollTimestamps::is_fresh(last_seen, now) {
-            return true;
-        }
+        PollTimestamps::is_fresh(last_seen, now)
+            || self.confirm_client_connected(number, now, events, counters)
+    }
+
+    /// Asks the kernel whether the client of a connection is still connected. Removes the connection
+    /// if the client has disconnected.
+    pub fn confirm_client_connected(
+        &mut self,
+        number: u64,
+        now: Nanos,
+        events: &mut Vec<ListenerEvent>,
+        counters: &mut Counters,
+    ) -> bool {
+        let Some(connection) = self.connections.get_mut(&number) else {
+            return false;
+        };
         counters.client_checks += 1;
         if has_peer_closed(connection.stream.socket()) {
             counters.client_checks_disconnected += 1;
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -14,6 +14,7 @@
 mod discovery;
 mod engine_adapter;
 mod event_loop;
+mod forwarded_ids;
 mod gossip;
 mod hot_restart;
 mod lifecycle;
--- a/crates/balancer/src/process_slots.rs
+++ b/crates/balancer/src/process_slots.rs
@@ -100,6 +100,13 @@
         Some(other.unwrap_or_else(OtherProcess::unknown))
     }
 
+    /// Returns the index of the slot that this process holds; `None` while other processes hold
+    /// both.
+    #[must_use]
+    pub fn own_slot(&self) -> Option<usize> {
+        self.own
+    }
+
     /// Returns the file for the state transfer between the two processes.
     #[must_use]
     pub fn transfer(&self) -> &TransferFile {
--- a/crates/balancer/src/request.rs
+++ b/crates/balancer/src/request.rs
@@ -131,6 +131,10 @@
     pub client_disconnected_at: Option<Nanos>,
     /// The command to be forwarded to a cache.
     pub command: CacheCommand,
+    /// Whether the request may run more than once without harm.
+    pub is_idempotent: bool,
+    /// Whether the id was recorded as forwarded.
+    pub is_id_recorded: bool,
     /// Time at which the client stops waiting for the answer.
     pub deadline: Nanos,
     /// Attempts in flight.
@@ -140,11 +144,18 @@
 impl RequestContext {
     /// Creates the context of a request that has just arrived.
     #[must_use]
-    pub fn new(answer_token: AnswerToken, command: CacheCommand, deadline: Nanos) -> Self {
+    pub fn new(
+        answer_token: AnswerToken,
+        command: CacheCommand,
+        is_idempotent: bool,
+        deadline: Nanos,
+    ) -> Self {
         RequestContext {
             answer_token: Some(answer_token),
             client_disconnected_at: None,
             command,
+            is_idempotent,
+            is_id_recorded: false,
             deadline,
             attempts: BTreeMap::new(),
         }
