Connections to a former process of a cache carry no new commands

Callers saw reads time out after a cache had restarted: the list told a new start time at the same address, and the next read went to an idle connection of the former process, which was open and silent.

The pool compared addresses only. It now identifies a process by address and start time: a changed start time closes idle connections and fails jobs of which nothing is written, as a changed address did, and a connection that is busy at the change is closed after its job.

Both cases of connections_to_a_former_process_carry_no_new_commands fail if the start time is not compared, and pass.

--- a/crates/balancer/src/discovery/endpoint_list.rs
+++ b/crates/balancer/src/discovery/endpoint_list.rs
@@ -2,6 +2,8 @@
 //! list as received so far.
 
 use super::messages::{ListPart, Message, MessageError};
+use crate::timers::MS;
+use routing::Nanos;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::{BTreeMap, VecDeque};
@@ -52,6 +54,14 @@
     pub started_ms: f64,
 }
 
+impl ListedEndpoint {
+    /// Returns the start of the endpoint as Unix time in nanoseconds; 0 if it started long ago.
+    #[must_use]
+    pub fn started(&self) -> Nanos {
+        (self.started_ms.max(0.0) * MS as f64) as Nanos
+    }
+}
+
 fn in_service() -> String {
     "in_service".into()
 }
--- a/crates/balancer/src/engine_adapter.rs
+++ b/crates/balancer/src/engine_adapter.rs
@@ -126,7 +126,7 @@
             cell: listed.cell.as_u64().unwrap_or_else(cell),
             state: endpoint_state(&listed.state),
             weight: listed.weight,
-            started: (listed.started_ms.max(0.0) * 1e6) as Nanos,
+            started: listed.started(),
         }
     }
 }
--- a/crates/balancer/src/event_loop/discovery.rs
+++ b/crates/balancer/src/event_loop/discovery.rs
@@ -5,7 +5,7 @@
 use crate::discovery::{DiscoveryEvent, EndpointList, ListPart, ListedEndpoint};
 use crate::engine_adapter::{ListSource, endpoint_id, endpoint_state, parse_endpoint_state};
 use crate::timers::TimerKind;
-use crate::upstream_pool::UpstreamEvent;
+use crate::upstream_pool::{EndpointProcess, UpstreamEvent};
 use routing::{EndpointId, EndpointState, Event, Nanos, UpdateKind};
 use std::collections::BTreeSet;
 
@@ -146,9 +146,13 @@
         }
         match endpoint.address.parse() {
             Ok(address) => {
+                let process = EndpointProcess {
+                    address,
+                    started: endpoint.started(),
+                };
                 let is_new =
                     self.upstream_pool
-                        .set_address(id, address, events, &mut self.counters);
+                        .set_process(id, process, events, &mut self.counters);
                 if is_new {
                     // Log lines of the engine contain endpoint ids only.
                     log::log!(
--- a/crates/balancer/src/upstream_pool.rs
+++ b/crates/balancer/src/upstream_pool.rs
@@ -9,6 +9,7 @@
 mod input_memory;
 mod reply;
 
+pub use address_book::EndpointProcess;
 pub use close_reason::CloseReason;
 pub use exchange::{ExchangeResult, OutboundCommand, UpstreamEvent, UpstreamJob};
 
@@ -17,7 +18,7 @@
 use crate::poll::sockets::connect;
 use crate::poll::{EventSource, Interest, Poll, Readiness};
 use crate::timers::{TimerKind, Timers};
-use address_book::{AddressBook, AddressChange};
+use address_book::{AddressBook, ProcessChange};
 use close_reason::log_close;
 use connection::{ConnectionState, UpstreamConnection};
 use exchange::ConnectError;
@@ -25,7 +26,6 @@
 use routing::{EndpointId, Nanos};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io::ErrorKind;
-use std::net::SocketAddr;
 
 /// Maximum number of bytes per read.
 const READ_SIZE: usize = 32 * 1024;
@@ -37,7 +37,7 @@
 /// Number of a connection, unique in the process.
 pub type ConnectionId = u64;
 
-/// All endpoints with an address and all connections to endpoints.
+/// All endpoints with a process and all connections to endpoints.
 pub struct UpstreamPool {
     poll: Poll,
     endpoints: AddressBook,
@@ -109,21 +109,20 @@
         };
     }
 
-    /// Sets the address of an endpoint; the endpoint accepts commands until it is drained.
-    /// Connections to its former address carry no new commands. Returns whether the address
-    /// changed.
-    pub fn set_address(
+    /// Sets the process of an endpoint; the endpoint accepts commands until it is drained.
+    /// Connections to its former process carry no new commands. Returns whether the process changed.
+    pub fn set_process(
         &mut self,
         endpoint: EndpointId,
-        address: SocketAddr,
+        process: EndpointProcess,
         events: &mut Vec<UpstreamEvent>,
         counters: &mut Counters,
     ) -> bool {
-        let change = self.endpoints.set_address(endpoint, address);
-        if change == AddressChange::Moved {
+        let change = self.endpoints.set_process(endpoint, process);
+        if change == ProcessChange::Replaced {
             self.close_unwritten(endpoint, events, counters);
         }
-        change != AddressChange::Unchanged
+        change != ProcessChange::Unchanged
     }
 
     /// Stops sending new commands to an endpoint. Fails jobs of which nothing is written yet: a
@@ -138,13 +137,13 @@
         self.close_unwritten(endpoint, events, counters);
     }
 
-    /// Removes the address of an endpoint that has left the endpoint list. No new command can be
+    /// Removes the process of an endpoint that has left the endpoint list. No new command can be
     /// sent to it.
     pub fn remove_endpoint(&mut self, endpoint: EndpointId) {
         self.endpoints.remove(endpoint);
     }
 
-    /// Returns the endpoints that have an address.
+    /// Returns the endpoints that have a process.
     #[must_use]
     pub fn listed_endpoints(&self) -> Vec<EndpointId> {
         self.endpoints.listed_endpoints().collect()
@@ -213,8 +212,9 @@
         endpoint: EndpointId,
         counters: &mut Counters,
     ) -> Result<ConnectionId, ConnectError> {
-        let address = self.endpoints.address(endpoint);
-        let address = address.ok_or(ConnectError::Unavailable(endpoint))?;
+        let process = self.endpoints.process(endpoint);
+        let process = process.ok_or(ConnectError::Unavailable(endpoint))?;
+        let address = process.address;
         self.ensure_capacity(endpoint, counters)?;
         let stream = connect(address).map_err(|source| match source.kind() {
             ErrorKind::ConnectionRefused
@@ -229,7 +229,7 @@
             .map_err(|source| ConnectError::Socket { address, source })?;
         self.next_connection += 1;
         counters.upstream_opened += 1;
-        let connection = UpstreamConnection::new(endpoint, address, socket, job, now);
+        let connection = UpstreamConnection::new(endpoint, process, socket, job, now);
         self.connections.insert(number, connection);
         self.jobs.insert(job, number);
         self.endpoints.add_connection(endpoint);
@@ -510,8 +510,8 @@
     /// Completes a job whose reply has arrived. The connection becomes idle, or is closed if it
     /// can't carry another job. It can't if the reply arrived before the whole command was written,
     /// lacks its end or is followed by further bytes: the start of the next reply is then unknown.
-    /// It can't either if the endpoint drains or has a new address: the old address may belong to
-    /// another cache by the time of the next job.
+    /// It can't either if the endpoint drains or has another process: the connection leads to the
+    /// former one.
     fn complete(
         &mut self,
         number: ConnectionId,
@@ -527,8 +527,8 @@
         };
         let ends_cleanly =
             length == Some(connection.input.len()) && !connection.has_unwritten_bytes();
-        let address = self.endpoints.address(connection.endpoint);
-        if !ends_cleanly || address != Some(connection.address) {
+        let process = self.endpoints.process(connection.endpoint);
+        if !ends_cleanly || process != Some(connection.process) {
             return self.fail(number, result, events, counters);
         }
         self.endpoints.add_idle(connection.endpoint, number);
--- a/crates/balancer/src/upstream_pool/address_book.rs
+++ b/crates/balancer/src/upstream_pool/address_book.rs
@@ -1,14 +1,24 @@
-//! Addresses of endpoints, and the pool's connections to each endpoint.
+//! Processes of endpoints with their addresses, and the pool's connections to each endpoint.
 
 use super::ConnectionId;
 use routing::{EndpointId, Nanos};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+/// A process of an endpoint. An endpoint that restarts has another process, mostly at the same
+/// address. Connections to the former one may stay open and silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndpointProcess {
+    /// Address at which the process listens.
+    pub address: SocketAddr,
+    /// Start time of the process according to discovery; 0 if it started long ago.
+    pub started: Nanos,
+}
+
 #[derive(Default)]
 struct EndpointRecord {
     /// `None` after the endpoint has left the endpoint list.
-    address: Option<SocketAddr>,
+    process: Option<EndpointProcess>,
     /// Whether the endpoint accepts no new commands. The engine may have chosen it before the
     /// drain.
     draining: bool,
@@ -20,37 +30,37 @@
     round_trip: Option<Nanos>,
 }
 
-/// Relation of an address to the former one of the endpoint.
+/// Relation of a process to the former one of the endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum AddressChange {
-    /// The endpoint had no address.
+pub(super) enum ProcessChange {
+    /// The endpoint had none.
     New,
-    /// The endpoint had another address.
-    Moved,
+    /// The endpoint had another one.
+    Replaced,
     Unchanged,
 }
 
-/// All endpoints that have an address or open connections.
+/// All endpoints that have a process or open connections.
 #[derive(Default)]
 pub(super) struct AddressBook {
     endpoints: HashMap<EndpointId, EndpointRecord>,
 }
 
 impl AddressBook {
-    /// Sets the address of an endpoint and marks it as accepting commands.
-    pub(super) fn set_address(
+    /// Sets the process of an endpoint and marks it as accepting commands.
+    pub(super) fn set_process(
         &mut self,
         endpoint: EndpointId,
-        address: SocketAddr,
-    ) -> AddressChange {
+        process: EndpointProcess,
+    ) -> ProcessChange {
         let record = self.endpoints.entry(endpoint).or_default();
         record.draining = false;
-        match record.address.replace(address) {
-            None => AddressChange::New,
-            Some(former) if former == address => AddressChange::Unchanged,
+        match record.process.replace(process) {
+            None => ProcessChange::New,
+            Some(former) if former == process => ProcessChange::Unchanged,
             Some(_) => {
                 record.round_trip = None;
-                AddressChange::Moved
+                ProcessChange::Replaced
             }
         }
     }
@@ -62,24 +72,24 @@
         }
     }
 
-    /// Removes the address of an endpoint. Its record is removed with its last connection.
+    /// Removes the process of an endpoint. Its record is removed with its last connection.
     pub(super) fn remove(&mut self, endpoint: EndpointId) {
         if let Some(record) = self.endpoints.get_mut(&endpoint) {
-            record.address = None;
+            record.process = None;
             self.remove_if_unused(endpoint);
         }
     }
 
-    /// Returns the endpoints that have an address.
+    /// Returns the endpoints that have a process.
     pub(super) fn listed_endpoints(&self) -> impl Iterator<Item = EndpointId> {
-        let listed = self.endpoints.iter().filter(|(_, r)| r.address.is_some());
+        let listed = self.endpoints.iter().filter(|(_, r)| r.process.is_some());
         listed.map(|(id, _)| *id)
     }
 
-    /// Returns the address for a new command, if the endpoint accepts commands.
-    pub(super) fn address(&self, endpoint: EndpointId) -> Option<SocketAddr> {
+    /// Returns the process for a new command, if the endpoint accepts commands.
+    pub(super) fn process(&self, endpoint: EndpointId) -> Option<EndpointProcess> {
         let record = self.endpoints.get(&endpoint)?;
-        record.address.filter(|_| !record.draining)
+        record.process.filter(|_| !record.draining)
     }
 
     /// Returns the number of connections to the endpoint.
@@ -102,7 +112,7 @@
     }
 
     fn remove_if_unused(&mut self, endpoint: EndpointId) {
-        let unused = |r: &EndpointRecord| r.connections == 0 && r.address.is_none();
+        let unused = |r: &EndpointRecord| r.connections == 0 && r.process.is_none();
         if self.endpoints.get(&endpoint).is_some_and(unused) {
             self.endpoints.remove(&endpoint);
         }
--- a/crates/balancer/src/upstream_pool/close_reason.rs
+++ b/crates/balancer/src/upstream_pool/close_reason.rs
@@ -18,7 +18,7 @@
     /// The client of a long value has disconnected.
     ClientDisconnected,
     /// No connection was established, or it broke before the whole command was written; or the
-    /// endpoint drains or has a new address.
+    /// endpoint drains or has a new process.
     ConnectFailed,
     /// The endpoint closed or reset the connection under its job.
     Reset,
--- a/crates/balancer/src/upstream_pool/connection.rs
+++ b/crates/balancer/src/upstream_pool/connection.rs
@@ -1,5 +1,6 @@
 //! State machine of one connection to an endpoint: assigned to a job, busy with it, or idle.
 
+use super::address_book::EndpointProcess;
 use super::exchange::{ExchangeResult, UpstreamEvent, UpstreamJob};
 use super::reply::{ParsedReply, parse_reply};
 use crate::poll::{Interest, Registered};
@@ -8,7 +9,7 @@
 use crate::timers::MS;
 use routing::{EndpointId, Nanos};
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
 
 /// Minimum time without progress after which a response that has begun counts as stalled. Caches
 /// send most responses without pauses, and the parts arrive within a round trip of each other.
@@ -39,8 +40,8 @@
 /// A connection to an endpoint. It carries at most one job at a time.
 pub(super) struct UpstreamConnection {
     pub(super) endpoint: EndpointId,
-    /// Address of the peer. The address of the endpoint may have changed since.
-    pub(super) address: SocketAddr,
+    /// Process that the connection was opened to. The endpoint may have another one by now.
+    pub(super) process: EndpointProcess,
     pub(super) socket: Registered<TcpStream>,
     pub(super) state: ConnectionState,
     /// Encoded command of the job; empty once it is written, as its request still holds the value.
@@ -71,14 +72,14 @@
     /// Creates the state of a connection that was opened for a job.
     pub(super) fn new(
         endpoint: EndpointId,
-        address: SocketAddr,
+        process: EndpointProcess,
         socket: Registered<TcpStream>,
         job: UpstreamJob,
         now: Nanos,
     ) -> Self {
         UpstreamConnection {
             endpoint,
-            address,
+            process,
             socket,
             state: ConnectionState::Assigned(job),
             command: Vec::new(),
--- a/crates/balancer/src/upstream_pool/tests.rs
+++ b/crates/balancer/src/upstream_pool/tests.rs
@@ -42,12 +42,7 @@
         let (poll, mut counters) = (Poll::new().unwrap(), Counters::default());
         let mut pool = UpstreamPool::new(&poll, 8, MS, 1000 * MS);
         let mut events = Vec::new();
-        pool.set_address(
-            ENDPOINT,
-            listener.local_addr().unwrap(),
-            &mut events,
-            &mut counters,
-        );
+        pool.set_process(ENDPOINT, process(&listener, 0), &mut events, &mut counters);
         PoolTest {
             pool,
             listener,
@@ -144,6 +139,13 @@
     }
 }
 
+fn process(listener: &TcpListener, started: Nanos) -> EndpointProcess {
+    EndpointProcess {
+        address: listener.local_addr().unwrap(),
+        started,
+    }
+}
+
 fn pong() -> ExchangeResult {
     ExchangeResult::Reply(Reply::Status("PONG".into()))
 }
@@ -240,9 +242,9 @@
     );
     test.dispatch_health_check(2, b"two".to_vec());
     assert_eq!(test.take_results(), [ExchangeResult::ConnectFailed]);
-    test.pool.set_address(
+    test.pool.set_process(
         ENDPOINT,
-        test.listener.local_addr().unwrap(),
+        process(&test.listener, 0),
         &mut test.events,
         &mut test.counters,
     );
@@ -258,6 +260,34 @@
     );
 }
 
+/// Guards against a command on a connection to a process that is gone: the new one has the same
+/// address, and the old connections stay open and silent.
+#[rstest]
+fn connections_to_a_former_process_carry_no_new_commands(
+    #[values(true, false)] is_busy_at_the_change: bool,
+) {
+    let mut test = PoolTest::start();
+    let mut first = test.open_connection(1, 0);
+    if !is_busy_at_the_change {
+        test.reply_pong(&mut first, 0);
+    }
+    let restarted = process(&test.listener, MS);
+    let is_new = test
+        .pool
+        .set_process(ENDPOINT, restarted, &mut test.events, &mut test.counters);
+    assert!(is_new);
+    if is_busy_at_the_change {
+        test.reply_pong(&mut first, 0);
+    }
+    assert_eq!(test.take_results(), [pong()]);
+    test.now += REUSE_DELAY;
+    test.dispatch_health_check(2, b"two".to_vec());
+    assert_eq!(
+        (test.counters.upstream_opened, test.counters.upstream_closed),
+        (2, 1)
+    );
+}
+
 #[test]
 fn command_partly_written_when_its_endpoint_drains_is_completed() {
     // More than the socket buffers hold.
--- a/crates/routing/src/engine/tests/slow_responses.rs
+++ b/crates/routing/src/engine/tests/slow_responses.rs
@@ -25,8 +25,8 @@
         let (request, attempt) = (RequestId(1), FIRST);
         let actions = engine.handle_now(Event::LongValueBegun { request, attempt });
         let timers = engine.timers.pending().iter();
-        let due = timers.filter(|(_, purpose)| matches!(purpose, TimerPurpose::FirstBytes(_)));
-        let (token, _) = due.last().expect("a timer is set");
+        let mut due = timers.filter(|(_, purpose)| matches!(purpose, TimerPurpose::FirstBytes(_)));
+        let (token, _) = due.next_back().expect("a timer is set");
         let token = *token;
         let wait = actions.iter().find_map(|action| match action {
             Action::SetTimer { after, token: set } if *set == token => Some(*after),
