Commands of very many short fields take no more memory than their length

A process was killed over its memory limit while some hundred clients had open requests of nearly a thousand short fields each, and the requests of the others were lost.

Cause: each field was stored as two strings, some 100 bytes for the four of a=b, and the limits counted the text alone. The fields that are forwarded are now one text. A request id is counted twice, as it is held twice.

The parser's test compares the whole forwarded text in place of one field.

--- a/crates/balancer/src/attempt_tracker/tests.rs
+++ b/crates/balancer/src/attempt_tracker/tests.rs
@@ -40,7 +40,7 @@
         value: None,
         key: b"k".to_vec(),
         request_id: b"i".to_vec(),
-        fields: Vec::new(),
+        fields: String::new(),
     };
     tracker.add_request(
         incoming(
@@ -84,7 +84,7 @@
         value: None,
         key: b"k".to_vec(),
         request_id: b"i".to_vec(),
-        fields: Vec::new(),
+        fields: String::new(),
     };
     let answer_token = AnswerToken {
         request: RequestId(1),
@@ -134,7 +134,7 @@
             value: None,
             key: b"k".to_vec(),
             request_id: b"i".to_vec(),
-            fields: Vec::new(),
+            fields: String::new(),
         };
         let answer_token = AnswerToken {
             request: RequestId(1),
--- a/crates/balancer/src/listener/resp/commands.rs
+++ b/crates/balancer/src/listener/resp/commands.rs
@@ -136,13 +136,17 @@
     tenant: Option<String>,
     client_timeout: Option<&'a str>,
     estimated_work: Option<Nanos>,
-    /// Fields that are forwarded with each attempt: all except the client timeout.
-    forwarded: Vec<(String, String)>,
+    /// Fields that are forwarded with each attempt, each as `name=value,`: all except the client
+    /// timeout.
+    forwarded: String,
 }
 
 impl<'a> RequestFields<'a> {
     fn parse(text: &'a str) -> Result<Self, RequestError> {
-        let mut fields = RequestFields::default();
+        let mut fields = RequestFields {
+            forwarded: String::with_capacity(text.len() + 1),
+            ..RequestFields::default()
+        };
         for field in text.split(',').filter(|field| !field.is_empty()) {
             let (name, value) = field
                 .split_once('=')
@@ -155,8 +159,8 @@
                 _ => {}
             }
             if name != field::CLIENT_TIMEOUT {
-                let forwarded = (name.to_string(), value.to_string());
-                fields.forwarded.push(forwarded);
+                fields.forwarded.push_str(field);
+                fields.forwarded.push(',');
             }
         }
         Ok(fields)
--- a/crates/balancer/src/listener/resp/tests/commands.rs
+++ b/crates/balancer/src/listener/resp/tests/commands.rs
@@ -42,6 +42,6 @@
     for h in ["", "0", "-5", "inf", "NaN", "3600000001", "soon"] {
         let incoming = read(h);
         assert_eq!(incoming.estimated_work, None, "{h}");
-        assert_eq!(incoming.command.fields[1], ("h".to_string(), h.to_string()));
+        assert_eq!(incoming.command.fields, format!("c=read,h={h},"));
     }
 }
--- a/crates/balancer/src/request.rs
+++ b/crates/balancer/src/request.rs
@@ -42,20 +42,16 @@
     pub key: Vec<u8>,
     /// Request id chosen by the client.
     pub request_id: Vec<u8>,
-    /// Names and values of the client's fields, except for the timeout: each attempt sends its own
-    /// timeout.
-    pub fields: Vec<(String, String)>,
+    /// The client's fields, each as `name=value,`, except for the timeout: each attempt sends its own
+    /// timeout. They are one text, as a client may send very many short fields.
+    pub fields: String,
 }
 
 impl CacheCommand {
     /// Encodes the command for an attempt with a timeout of `timeout_ms` milliseconds.
     #[must_use]
     pub fn encode(&self, timeout_ms: u64) -> Vec<u8> {
-        let mut fields = String::new();
-        for (name, value) in &self.fields {
-            fields.push_str(&format!("{name}={value},"));
-        }
-        fields.push_str(&format!("d={timeout_ms}"));
+        let fields = format!("{}d={timeout_ms}", self.fields);
         let fields = fields.as_bytes();
         match &self.value {
             None => write_command(&[b"C.GET", &self.key, &self.request_id, fields]),
@@ -66,13 +62,10 @@
     /// Returns the number of bytes of memory that an open request with this command takes.
     #[must_use]
     pub fn byte_size(&self) -> usize {
-        let fields: usize = self
-            .fields
-            .iter()
-            .map(|(name, value)| name.len() + value.len())
-            .sum();
         let value = self.value.as_ref().map_or(0, Vec::len);
-        REQUEST_OVERHEAD + value + self.key.len() + self.request_id.len() + fields
+        // The id is also held in the set of open ids.
+        let ids = 2 * self.request_id.len();
+        REQUEST_OVERHEAD + value + self.key.len() + ids + self.fields.len()
     }
 }
 
--- a/crates/balancer/tests/memory.rs
+++ b/crates/balancer/tests/memory.rs
@@ -17,6 +17,8 @@
 const OBSERVED: Duration = Duration::from_millis(1_500);
 /// Time of the slow read that makes the other answers of its connection wait.
 const SLOW_READ: Duration = Duration::from_millis(800);
+/// Time for which a cache does not read.
+const STOPPED: Duration = Duration::from_secs(10);
 const USUAL_CLIENTS: usize = 3;
 /// Time for which only the usual clients send requests.
 const BEFORE_LOAD: Duration = Duration::from_millis(200);
@@ -34,6 +36,10 @@
     UnreadAnswers,
     /// Reads nothing of its long values.
     UnreadLongValues,
+    /// Sends commands of nearly a thousand short fields each, which the cache does not answer.
+    ManyFields,
+    /// Sends the longest values to caches that do not read them.
+    StoppedCaches,
 }
 
 impl Load {
@@ -56,6 +62,17 @@
             Load::ManyCommands => reads("hang", 1_500),
             Load::UnreadAnswers => read("slow", 0) + &reads("value", 127),
             Load::UnreadLongValues => reads("long", 2),
+            Load::ManyFields => (0..8)
+                .map(|number| {
+                    let id = format!("hang-{client}-{number}");
+                    let fields = format!("c=read,{}d=30000", "a=b,".repeat(950));
+                    resp_command(&["C.GET", &id, &id, &fields])
+                })
+                .collect(),
+            Load::StoppedCaches => {
+                let id = format!("stop-{client}");
+                resp_command(&["C.SET", &id, &id, "c=put,d=30000", &"v".repeat(64 * 1024)])
+            }
         }
         .into_bytes()
     }
@@ -65,6 +82,10 @@
 fn response(key: &str) -> Option<Vec<u8>> {
     let length = match key.split('-').next() {
         Some("hang") => return None,
+        Some("stop") => {
+            sleep(STOPPED);
+            return None;
+        }
         Some("long") => 4 << 20,
         Some("usual") => 4,
         Some("slow") => {
@@ -191,7 +212,9 @@
         Load::HalfWrittenCommand,
         Load::ManyCommands,
         Load::UnreadAnswers,
-        Load::UnreadLongValues
+        Load::UnreadLongValues,
+        Load::ManyFields,
+        Load::StoppedCaches
     )]
     load: Load,
     #[values((32, 1024, 600), (16, 512, 280))] (memory_mb, sockets, clients): (usize, usize, usize),
