Clients that read nothing leave connections to caches for those that read

While some hundred clients read nothing of their long values, all other requests got -BUSY, for up to 10 s: each such value occupies a connection to its cache until its client reads or is disconnected, and the pool ran out of them.

No value is cut off for that, as the cache still gives it. Instead a quarter of the connections is reserved for clients that have received a response on their connection before; requests of new clients are rejected when three quarters are in use. A reader of which that is known before it stops reading can still use the reserve: that is open.

--- a/crates/balancer/src/attempt_tracker.rs
+++ b/crates/balancer/src/attempt_tracker.rs
@@ -6,7 +6,9 @@
 mod outcome;
 
 use crate::counters::Counters;
-use crate::request::{AnswerToken, AttemptRecord, FinalAnswer, IncomingRequest, RequestContext};
+use crate::request::{
+    AnswerToken, AttemptRecord, ClientHistory, FinalAnswer, IncomingRequest, RequestContext,
+};
 use crate::timers::MS;
 use crate::upstream_pool::{ExchangeResult, OutboundCommand, UpstreamJob};
 use health_checks::HealthChecks;
@@ -118,6 +120,7 @@
         let id = incoming.answer_token.request;
         let context = RequestContext::new(
             incoming.answer_token,
+            incoming.client,
             incoming.command,
             is_idempotent,
             deadline,
@@ -344,6 +347,7 @@
             job: UpstreamJob::Attempt(spec.request, spec.attempt),
             endpoint: spec.endpoint,
             deadline,
+            may_use_reserve: context.client == ClientHistory::Answered,
         })
     }
 
--- a/crates/balancer/src/attempt_tracker/tests.rs
+++ b/crates/balancer/src/attempt_tracker/tests.rs
@@ -9,6 +9,7 @@
     command: CacheCommand,
 ) -> IncomingRequest {
     IncomingRequest {
+        client: ClientHistory::New,
         answer_token,
         class: String::new(),
         tenant: None,
--- a/crates/balancer/src/event_loop/admission.rs
+++ b/crates/balancer/src/event_loop/admission.rs
@@ -3,7 +3,7 @@
 
 use super::EventLoop;
 use crate::listener::resp::ListenerEvent;
-use crate::request::{FinalAnswer, IncomingRequest, REQUEST_OVERHEAD};
+use crate::request::{ClientHistory, FinalAnswer, IncomingRequest, REQUEST_OVERHEAD};
 use crate::timers::MS;
 use crate::upstream_pool::CloseReason;
 use routing::{ClassId, Event, Idempotency, Nanos, RequestId};
@@ -106,7 +106,8 @@
         }
     }
 
-    /// Returns whether a request would exceed the limit of memory or of open requests. Exceeding the
+    /// Returns whether a request would exceed the limit of memory or of open requests, or take a
+    /// connection to a cache that is reserved for clients known to read. Exceeding the
     /// memory limit could get the process killed, and all open requests would be lost. Above half of
     /// the memory limit, a connection may hold only its share.
     fn is_over_limits(&self, incoming: &IncomingRequest) -> bool {
@@ -115,7 +116,10 @@
         let connection = incoming.answer_token.connection;
         // The listener already counts the state of this request.
         let command = size - REQUEST_OVERHEAD;
-        held > self.memory_limit
+        let lacks_connections =
+            incoming.client == ClientHistory::New && self.upstream_pool.is_only_reserve_left();
+        lacks_connections
+            || held > self.memory_limit
             || held > self.memory_limit / 2 && self.listener.exceeds_share(connection, command)
             || self.attempt_tracker.open_requests() >= self.open_requests_max
     }
--- a/crates/balancer/src/event_loop/dispatch.rs
+++ b/crates/balancer/src/event_loop/dispatch.rs
@@ -84,6 +84,7 @@
             job,
             endpoint,
             deadline,
+            may_use_reserve: true,
         };
         self.dispatch(now, outbound);
     }
--- a/crates/balancer/src/listener/resp/commands.rs
+++ b/crates/balancer/src/listener/resp/commands.rs
@@ -3,7 +3,7 @@
 
 use super::responses::encode_error;
 use crate::lifecycle::LifecyclePolicy;
-use crate::request::{AnswerToken, CacheCommand, IncomingRequest};
+use crate::request::{AnswerToken, CacheCommand, ClientHistory, IncomingRequest};
 use crate::timers::MS;
 use routing::Nanos;
 use std::ops::{Range, RangeInclusive};
@@ -114,6 +114,7 @@
             .class
             .ok_or(RequestError::MissingField(field::CLASS))?,
         tenant: fields.tenant,
+        client: ClientHistory::New,
         arrived_at: 0,
         client_timeout: fields
             .client_timeout
--- a/crates/balancer/src/listener/resp/connection.rs
+++ b/crates/balancer/src/listener/resp/connection.rs
@@ -8,6 +8,7 @@
 use crate::poll::sockets::is_open_without_input;
 use crate::poll::{Interest, Registered};
 use crate::poll_timestamps::ClientPresence;
+use crate::request::ClientHistory;
 use crate::resp::{CommandSkip, VALUE_MAX, parse_command};
 use routing::{Nanos, RequestId};
 use std::collections::VecDeque;
@@ -59,6 +60,8 @@
     pub(super) command_since: Nanos,
     /// Whether a complete command has arrived on the connection.
     pub(super) has_sent_command: bool,
+    /// Whether the client has received a response.
+    pub(super) history: ClientHistory,
     /// Set once the sending side is shut down.
     pub(super) closing: Option<Closing>,
     /// Progress of the kernel in delivering the written output.
@@ -83,6 +86,7 @@
             last_active: now,
             command_since: now,
             has_sent_command: false,
+            history: ClientHistory::New,
             closing: None,
             delivery: Delivery::default(),
             presence,
@@ -257,6 +261,9 @@
         }
         if self.unsent_bytes() == 0 {
             (self.output, self.written) = (Vec::new(), 0);
+            if !self.is_sending_stream() {
+                self.history = ClientHistory::Answered;
+            }
         } else {
             self.compact_output();
         }
--- a/crates/balancer/src/listener/resp/input.rs
+++ b/crates/balancer/src/listener/resp/input.rs
@@ -137,6 +137,7 @@
                     let response = PendingResponse::Waiting(request.answer_token.request);
                     connection.responses.push_back(response);
                     events.push(ListenerEvent::Request(IncomingRequest {
+                        client: connection.history,
                         arrived_at,
                         ..request
                     }));
--- a/crates/balancer/src/request.rs
+++ b/crates/balancer/src/request.rs
@@ -14,6 +14,17 @@
     pub connection: u64,
 }
 
+/// What is known of a client that sends a request. A client that reads nothing occupies a connection
+/// to a cache for a long time if its value is long, so connections are reserved for those that are
+/// known to read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClientHistory {
+    /// Nothing was sent to the client on this connection yet.
+    New,
+    /// The client has received a response on this connection.
+    Answered,
+}
+
 /// A request as the listener passes it to the event loop.
 #[derive(Debug)]
 pub struct IncomingRequest {
@@ -23,6 +34,8 @@
     pub class: String,
     /// Name of the tenant, if the client sent one.
     pub tenant: Option<String>,
+    /// Whether the client has received a response on this connection before.
+    pub client: ClientHistory,
     /// Earliest time at which the request can have arrived.
     pub arrived_at: Nanos,
     /// Time that the client waits for the answer, measured from `arrived_at`.
@@ -124,6 +137,8 @@
     pub client_disconnected_at: Option<Nanos>,
     /// The command to be forwarded to a cache.
     pub command: CacheCommand,
+    /// What is known of the client.
+    pub client: ClientHistory,
     /// Whether the request may run more than once without harm.
     pub is_idempotent: bool,
     /// Whether the id was recorded as forwarded.
@@ -139,6 +154,7 @@
     #[must_use]
     pub fn new(
         answer_token: AnswerToken,
+        client: ClientHistory,
         command: CacheCommand,
         is_idempotent: bool,
         deadline: Nanos,
@@ -146,6 +162,7 @@
         RequestContext {
             answer_token: Some(answer_token),
             client_disconnected_at: None,
+            client,
             command,
             is_idempotent,
             is_id_recorded: false,
--- a/crates/balancer/src/upstream_pool.rs
+++ b/crates/balancer/src/upstream_pool.rs
@@ -185,7 +185,12 @@
             job,
             endpoint,
             deadline,
+            may_use_reserve,
         } = command;
+        if !may_use_reserve && self.is_only_reserve_left() {
+            let result = ConnectError::OnlyReserve.into();
+            return events.push(UpstreamEvent::Completed { job, result });
+        }
         if self.assign_idle(now, job, endpoint, counters) {
             return events.push(UpstreamEvent::Connected { job });
         }
--- a/crates/balancer/src/upstream_pool/exchange.rs
+++ b/crates/balancer/src/upstream_pool/exchange.rs
@@ -23,6 +23,8 @@
     pub endpoint: EndpointId,
     /// Time at which the job times out; the latest time for establishing the connection.
     pub deadline: Nanos,
+    /// Whether the job may use the connections that are reserved for clients known to read.
+    pub may_use_reserve: bool,
 }
 
 /// Result of a job.
@@ -101,6 +103,8 @@
     EndpointLimit { endpoint: EndpointId, limit: usize },
     #[error("all {limit} connections allowed to endpoints are busy")]
     PoolLimit { limit: usize },
+    #[error("the free connections are reserved for clients that are known to read")]
+    OnlyReserve,
     #[error("no socket for the endpoint at {address}: {source}")]
     Socket {
         address: SocketAddr,
@@ -118,6 +122,7 @@
             // charged for that.
             ConnectError::EndpointLimit { .. }
             | ConnectError::PoolLimit { .. }
+            | ConnectError::OnlyReserve
             | ConnectError::Socket { .. } => ExchangeResult::NoCapacity,
         }
     }
--- a/crates/balancer/src/upstream_pool/idle.rs
+++ b/crates/balancer/src/upstream_pool/idle.rs
@@ -15,6 +15,9 @@
 /// the response to the next job.
 pub(super) const REUSE_DELAY: Nanos = 10 * MS;
 
+/// The maximum number of connections divided by this is reserved for clients known to read.
+const RESERVE_DIVISOR: usize = 4;
+
 /// An endpoint gets at most the maximum number of connections divided by this.
 const ENDPOINT_SHARE_DIVISOR: usize = 4;
 
@@ -58,6 +61,12 @@
         })
     }
 
+    /// Returns whether the connections that are not busy are reserved for clients known to read.
+    #[must_use]
+    pub fn is_only_reserve_left(&self) -> bool {
+        self.jobs.len() >= self.max_connections - self.max_connections / RESERVE_DIVISOR
+    }
+
     /// Ensures that another connection to the endpoint is within the limits. Closes an idle
     /// connection if necessary.
     pub(super) fn ensure_capacity(
--- a/crates/balancer/src/upstream_pool/tests.rs
+++ b/crates/balancer/src/upstream_pool/tests.rs
@@ -64,6 +64,7 @@
             job,
             endpoint: ENDPOINT,
             deadline: MS,
+            may_use_reserve: matches!(job, UpstreamJob::HealthCheck(_)),
         };
         self.pool.dispatch(
             self.now,
