Of two long values that have begun, the first at a healthy cache is forwarded

The latest was forwarded when the first bytes were due. The first one's bytes usually come first; only a cache that fails often is a reason to prefer the other. Test: of_two_long_values_the_first_at_a_healthy_endpoint_is_forwarded.

--- a/crates/routing/src/engine/slow_responses.rs
+++ b/crates/routing/src/engine/slow_responses.rs
@@ -51,7 +51,7 @@
     /// Forwards the long value that has begun, if there is one. Returns whether there is.
     pub(super) fn forward_long_value(&mut self, request: &Request) -> bool {
         let is_answered = request.is_closed || request.is_streaming;
-        let attempt = request.latest_long_value().filter(|_| !is_answered);
+        let attempt = self.preferred_long_value(request).filter(|_| !is_answered);
         self.actions
             .extend(attempt.map(|attempt| Action::ForwardLongValue {
                 request: request.details.id,
@@ -60,6 +60,19 @@
         attempt.is_some()
     }
 
+    /// Returns the attempt in flight whose long value is forwarded: of those that have begun, the
+    /// first at a healthy endpoint.
+    fn preferred_long_value(&self, request: &Request) -> Option<AttemptNumber> {
+        let attempts = (0..).map(AttemptNumber).zip(&request.attempts);
+        let begun = attempts.filter_map(|(number, attempt)| {
+            let since = attempt
+                .long_value_since
+                .filter(|_| attempt.is_in_flight())?;
+            Some((!self.is_healthy(attempt.endpoint), since, number))
+        });
+        begun.min().map(|(_, _, number)| number)
+    }
+
     /// Handles a response that makes no progress.
     pub(super) fn on_response_stalled(&mut self, request: &mut Request, number: AttemptNumber) {
         if let Some(attempt) = request.in_flight_attempt(number) {
--- a/crates/routing/src/engine/tests/slow_responses.rs
+++ b/crates/routing/src/engine/tests/slow_responses.rs
@@ -95,3 +95,32 @@
         );
     }
 }
+
+#[test]
+fn of_two_long_values_the_first_at_a_healthy_endpoint_is_forwarded() {
+    for (first_is_healthy, forwarded) in [(true, 0), (false, 1)] {
+        let mut engine = engine(3);
+        arrive(&mut engine, 1);
+        stall(&mut engine);
+        let request = RequestId(1);
+        for number in [0, 1] {
+            engine.now += MS;
+            let attempt = AttemptNumber(number);
+            engine.handle_now(Event::LongValueBegun { request, attempt });
+        }
+        let first = engine.first_endpoint(1);
+        for _ in 0..50 {
+            let health = &mut engine.record_mut(first).health;
+            health.update_failure_ratio(!first_is_healthy);
+        }
+        engine.now = 990 * MS;
+        let mut open = engine.requests.remove(&request).expect("it is open");
+        engine.actions.clear();
+        engine.on_first_bytes_due(&mut open);
+        let attempt = AttemptNumber(forwarded);
+        assert_eq!(
+            engine.actions,
+            [Action::ForwardLongValue { request, attempt }]
+        );
+    }
+}
--- a/crates/routing/src/request.rs
+++ b/crates/routing/src/request.rs
@@ -91,15 +91,6 @@
         attempts.filter(|attempt| attempt.is_in_flight()).count()
     }
 
-    /// Returns the attempt in flight whose long value has begun last. If several have begun, the
-    /// others have been silent for longer.
-    pub(crate) fn latest_long_value(&self) -> Option<AttemptNumber> {
-        let attempts = (0..).map(AttemptNumber).zip(&self.attempts);
-        let begun = attempts.filter(|(_, attempt)| attempt.is_in_flight());
-        let begun = begun.filter_map(|(number, attempt)| Some((attempt.long_value_since?, number)));
-        begun.max().map(|(_, number)| number)
-    }
-
     /// Returns whether exactly one attempt is in flight, and its response is stalled.
     pub(crate) fn awaits_stalled_response(&self) -> bool {
         let mut in_flight = self.attempts.iter().filter(|a| a.is_in_flight());
