A stalled long value can be replaced before its first bytes are due

The soak found a keyed write whose cache fell silent after the head of a long receipt: the second attempt was sent and the first one's header forwarded at the same moment, 0.5 s after the head, so the complete answer of the second could not be used and the client's connection ended in the middle of the value.

The first bytes are now forwarded 0.8 s after the head, still at the latest 25 ms before the deadline; the second attempt follows a stall of 0.5 s as before.

--- a/crates/routing/src/engine/slow_responses.rs
+++ b/crates/routing/src/engine/slow_responses.rs
@@ -15,8 +15,8 @@
 /// delay of timers and the transmission to the client.
 const FIRST_BYTES_MARGIN: Nanos = 25 * MS;
 /// Maximum time from the head of a long value until its first bytes are forwarded. Until then
-/// another attempt can still replace the value.
-const FIRST_BYTES_DELAY_MAX: Nanos = 500 * MS;
+/// another attempt can still replace the value; it is sent when the value has stalled for 0.5 s.
+const FIRST_BYTES_DELAY_MAX: Nanos = 800 * MS;
 
 impl Engine {
     /// Handles the head of a long value: the endpoint has answered, and the first bytes must reach
