A long queue no longer delays every answer

Cause: after the end of each attempt all queued requests were sorted and tried again, thousands of them. The queue is now kept in its order, and after an attempt its first 256 requests are tried; housekeeping (every 100 ms), endpoint updates and deadlines still reach all of them. Which decisions change: only those with more than 256 queued requests.

--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -108,7 +108,7 @@
                 self.update_request(result.request, |engine, request| {
                     engine.on_attempt_ended(request, &result);
                 });
-                self.retry_queued();
+                self.retry_queued_after_attempt();
             }
             Event::ResponseStarted { request, attempt } => {
                 self.update_request(request, |engine, request| {
--- a/crates/routing/src/engine/answers.rs
+++ b/crates/routing/src/engine/answers.rs
@@ -9,6 +9,9 @@
 use crate::request::{Attempt, Request};
 use crate::request_queue::max_wait;
 
+/// Maximum number of queued requests that are retried after the end of an attempt.
+const RETRIES_AFTER_ATTEMPT_MAX: usize = 256;
+
 impl Engine {
     /// Ends a request without a complete answer from an endpoint: forwards the long value that has
     /// begun, if there is one. Otherwise rejects the request if a retry by the client is certain to
@@ -109,8 +112,19 @@
     /// away from their candidates would displace cached values there, and the number of fetches
     /// would keep growing.
     pub(super) fn retry_queued(&mut self) {
-        for queued in self.queue.by_priority(&self.requests, &self.settings) {
-            self.update_request(queued.id, |engine, request| {
+        self.retry_first_queued(usize::MAX);
+    }
+
+    /// Does the same for the first queued requests only, after the end of an attempt: it frees
+    /// capacity for few requests, and with a long queue a pass over all of it would delay every
+    /// other request. Housekeeping retries the others.
+    pub(super) fn retry_queued_after_attempt(&mut self) {
+        self.retry_first_queued(RETRIES_AFTER_ATTEMPT_MAX);
+    }
+
+    fn retry_first_queued(&mut self, count: usize) {
+        for id in self.queue.first(count) {
+            self.update_request(id, |engine, request| {
                 engine.advance(request);
                 engine.reject_if_queued_too_long(request);
             });
--- a/crates/routing/src/engine/attempts.rs
+++ b/crates/routing/src/engine/attempts.rs
@@ -95,7 +95,7 @@
         if before.is_none_or(|entry| entry.reason != reason) {
             self.report_deferral(request, Deferral::Queued, reason);
         }
-        self.queue.insert(request.details.id);
+        self.queue.insert(request, &self.settings);
     }
 
     pub(super) fn send(&mut self, request: &mut Request, target: Target) {
--- a/crates/routing/src/request_queue.rs
+++ b/crates/routing/src/request_queue.rs
@@ -17,61 +17,61 @@
 /// timeout.
 const MAX_WAIT_TIMEOUT_DENOMINATOR: Nanos = 5;
 
-/// Identifiers of the queued requests.
+/// The queued requests, ordered by priority.
 #[derive(Default)]
 pub(crate) struct RequestQueue {
-    requests: BTreeSet<RequestId>,
+    ordered: BTreeSet<QueuePosition>,
+    positions: BTreeMap<RequestId, QueuePosition>,
 }
 
 impl RequestQueue {
-    pub(crate) fn insert(&mut self, request: RequestId) {
-        self.requests.insert(request);
+    pub(crate) fn insert(&mut self, request: &Request, settings: &Settings) {
+        let position = QueuePosition::new(request, settings);
+        self.remove(request.details.id);
+        self.ordered.insert(position);
+        self.positions.insert(request.details.id, position);
     }
 
     pub(crate) fn remove(&mut self, request: RequestId) {
-        self.requests.remove(&request);
+        if let Some(position) = self.positions.remove(&request) {
+            self.ordered.remove(&position);
+        }
     }
 
     #[cfg(test)]
     pub(crate) fn is_empty(&self) -> bool {
-        self.requests.is_empty()
+        self.ordered.is_empty()
     }
 
-    /// Returns the queued requests in the order in which they are retried.
-    pub(crate) fn by_priority(
-        &self,
-        open: &BTreeMap<RequestId, Request>,
-        settings: &Settings,
-    ) -> Vec<QueuedRequest> {
-        let queued = self.requests.iter().filter_map(|id| open.get(id));
-        let mut queued: Vec<QueuedRequest> = queued
-            .map(|request| QueuedRequest::new(request, settings))
-            .collect();
-        queued.sort_by(QueuedRequest::compare_priority);
-        queued
+    /// Returns the first `count` queued requests in the order in which they are retried.
+    pub(crate) fn first(&self, count: usize) -> Vec<RequestId> {
+        let first = self.ordered.iter().take(count);
+        first.map(|position| position.id).collect()
     }
 }
 
-/// Queued request with the properties that its priority depends on.
-pub(crate) struct QueuedRequest {
-    pub(crate) id: RequestId,
+/// Position of a request in the queue: within quota first, then by priority weight, then by age.
+#[derive(Clone, Copy, Debug)]
+struct QueuePosition {
     is_over_quota: bool,
     priority_weight: f64,
     arrived_at: Nanos,
+    id: RequestId,
 }
 
-impl QueuedRequest {
+impl QueuePosition {
     fn new(request: &Request, settings: &Settings) -> Self {
-        QueuedRequest {
-            id: request.details.id,
+        QueuePosition {
             is_over_quota: request.is_over_quota,
             priority_weight: settings.class(request.details.class).priority_weight,
             arrived_at: request.arrived_at,
+            id: request.details.id,
         }
     }
+}
 
-    /// Compares two requests: within quota first, then by priority weight, then by age.
-    fn compare_priority(&self, other: &Self) -> Ordering {
+impl Ord for QueuePosition {
+    fn cmp(&self, other: &Self) -> Ordering {
         self.is_over_quota
             .cmp(&other.is_over_quota)
             .then(other.priority_weight.total_cmp(&self.priority_weight))
@@ -80,6 +80,20 @@
     }
 }
 
+impl PartialOrd for QueuePosition {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for QueuePosition {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for QueuePosition {}
+
 /// Returns the maximum time a request is queued before it is rejected; an answer after a longer
 /// wait would be late.
 pub(crate) fn max_wait(request: &Request, settings: &Settings) -> Nanos {
