Housekeeping sends at most the first 1,024 queued requests in a pass

Of the others only the maximum wait is checked. Which decisions change: only those with more than 1,024 queued requests.

--- a/crates/routing/src/engine/answers.rs
+++ b/crates/routing/src/engine/answers.rs
@@ -5,10 +5,12 @@
 use crate::events::AttemptOutcome;
 use crate::explanations::explain;
 use crate::idempotency::permits_rejection;
-use crate::identifiers::{AttemptNumber, Nanos};
+use crate::identifiers::{AttemptNumber, Nanos, RequestId};
 use crate::request::{Attempt, Request};
 use crate::request_queue::max_wait;
 
+/// Maximum number of queued requests that are retried in one pass.
+const RETRIES_MAX: usize = 1_024;
 /// Maximum number of queued requests that are retried after the end of an attempt.
 const RETRIES_AFTER_ATTEMPT_MAX: usize = 256;
 
@@ -111,20 +113,26 @@
     /// that have waited too long. They are not sent to arbitrary endpoints with capacity: reads
     /// away from their candidates would displace cached values there, and the number of fetches
     /// would keep growing.
+    /// Of a very long queue only the first requests are sent: a turn must not take long.
     pub(super) fn retry_queued(&mut self) {
-        self.retry_first_queued(usize::MAX);
+        let queued = self.queue.first(usize::MAX);
+        let (first, others) = queued.split_at(queued.len().min(RETRIES_MAX));
+        self.retry_all(first);
+        for id in others {
+            self.update_request(*id, Engine::reject_if_queued_too_long);
+        }
     }
 
     /// Does the same for the first queued requests only, after the end of an attempt: it frees
-    /// capacity for few requests, and with a long queue a pass over all of it would delay every
-    /// other request. Housekeeping retries the others.
+    /// capacity for few requests. Housekeeping retries the others.
     pub(super) fn retry_queued_after_attempt(&mut self) {
-        self.retry_first_queued(RETRIES_AFTER_ATTEMPT_MAX);
+        let first = self.queue.first(RETRIES_AFTER_ATTEMPT_MAX);
+        self.retry_all(&first);
     }
 
-    fn retry_first_queued(&mut self, count: usize) {
-        for id in self.queue.first(count) {
-            self.update_request(id, |engine, request| {
+    fn retry_all(&mut self, queued: &[RequestId]) {
+        for id in queued {
+            self.update_request(*id, |engine, request| {
                 engine.advance(request);
                 engine.reject_if_queued_too_long(request);
             });
