--- a/crates/balancer/src/event_loop/admission.rs
+++ b/crates/balancer/src/event_loop/admission.rs
@@ -15,7 +15,7 @@
         while let Some(event) = events.pop_front() {
             match event {
                 ListenerEvent::Request(incoming) => {
-                    let further = self.handle_request(now, incoming);
+                    let further = self.handle_request(now, *incoming);
                     events.extend(further);
                 }
                 ListenerEvent::ClientDisconnected(request) => {
--- a/crates/balancer/src/listener/resp.rs
+++ b/crates/balancer/src/listener/resp.rs
@@ -33,7 +33,7 @@
 #[derive(Debug)]
 pub enum ListenerEvent {
     /// A request has arrived.
-    Request(IncomingRequest),
+    Request(Box<IncomingRequest>),
     /// The client of this request has disconnected.
     ClientDisconnected(RequestId),
     /// The client connection can accept more of the streamed value of this request.
--- a/crates/balancer/src/listener/resp/input.rs
+++ b/crates/balancer/src/listener/resp/input.rs
@@ -136,11 +136,11 @@
                     counters.requests += 1;
                     let response = PendingResponse::Waiting(request.answer_token.request);
                     connection.responses.push_back(response);
-                    events.push(ListenerEvent::Request(IncomingRequest {
+                    events.push(ListenerEvent::Request(Box::new(IncomingRequest {
                         client: connection.history,
                         arrived_at,
                         ..request
-                    }));
+                    })));
                 }
                 ParsedCommand::Response(response) => connection.respond(response),
                 ParsedCommand::Malformed(error) => {
--- a/crates/testbed/src/soak/clients.rs
+++ b/crates/testbed/src/soak/clients.rs
@@ -461,12 +461,12 @@
                 status.access == ClientAccess::Available && status.processes.len() == repeat.starts
             };
             if let (true, Some(number)) = (is_same_process, self.connect(balancer, repeat.starts)) {
-                self.repeat_request(number, repeat);
+                self.repeat_request(number, &repeat);
             }
         }
     }
 
-    fn repeat_request(&mut self, number: u64, repeat: Repeat) {
+    fn repeat_request(&mut self, number: u64, repeat: &Repeat) {
         let Some(client) = self.clients.get_mut(&number) else {
             return;
         };
--- a/crates/testbed/src/soak/injection.rs
+++ b/crates/testbed/src/soak/injection.rs
@@ -3,9 +3,9 @@
 use super::balancers::ClientAccess;
 use super::caches::CacheFaults;
 use super::discovery::DiscoveryFault;
-use super::load;
+use super::load::{self, LoadKind};
 use super::plan::SoakEvent;
-use super::records::{CacheState, MS, Nanos, TimeSpan};
+use super::records::{CacheState, LoadRecord, MS, Nanos, TimeSpan};
 use super::run::{SoakRun, lock};
 use nix::sys::signal::Signal;
 use std::sync::Arc;
@@ -182,7 +182,10 @@
                 let clock = self.clock;
                 let from = clock.now();
                 let to = from + load.span;
-                self.loads[number].push(TimeSpan { from, to });
+                self.loads[number].push(LoadRecord {
+                    span: TimeSpan { from, to },
+                    occupies_caches: load.kind == LoadKind::UnreadLongValues,
+                });
                 self.threads
                     .push(std::thread::spawn(move || load::run(load, address, clock)));
             }
--- a/crates/testbed/src/soak/plan.rs
+++ b/crates/testbed/src/soak/plan.rs
@@ -45,6 +45,8 @@
     pub second_copies: bool,
     /// Memory limit of each process, in MB.
     pub memory_mb: u64,
+    /// Whether there is nothing but loads, so that most requests have to be served.
+    pub is_crowd: bool,
     /// Number of caches with a listener of their own. Caches with smaller numbers than this are
     /// checked individually, the others are not.
     pub own_listeners: usize,
@@ -180,28 +182,13 @@
         caches,
     );
     rules.second_copies = rng.random::<f64>() < 0.8;
-    let has_loads = caches <= LOAD_CACHES_MAX && rng.random::<f64>() < 0.7;
-    if has_loads {
+    let kind = PlanKind::choose(&mut rng, seed, caches);
+    if kind != PlanKind::WithoutLoads {
         rules.memory_mb = choose(&mut rng, &[32, 64]);
     }
+    rules.is_crowd = kind == PlanKind::Crowd;
     let settings = generate_settings(&mut rng, balancers, &timeouts, &rules);
     let client_behavior = generate_client_behavior(&mut rng, requests_per_s, timeouts);
-    let list_format = choose(
-        &mut rng,
-        &[
-            ListFormat::Line,
-            ListFormat::Line,
-            ListFormat::Indented,
-            ListFormat::Torn,
-        ],
-    );
-    let mut events = generate_events(&mut rng, balancers, caches);
-    if has_loads {
-        events.extend(generate_loads(&mut rng, balancers));
-        events.sort_by_key(|(at, _)| *at);
-    }
-    let response_mix = generate_response_mix(&mut rng);
-    let descriptors_max = choose(&mut rng, &[512, 1_024]);
     SoakPlan {
         seed,
         balancers,
@@ -209,13 +196,84 @@
         settings,
         rules,
         client_behavior,
-        response_mix,
-        descriptors_max,
-        list_format,
-        events,
+        list_format: choose(&mut rng, &LIST_FORMATS),
+        events: kind.generate_events(&mut rng, balancers, caches),
+        response_mix: generate_response_mix(&mut rng),
+        descriptors_max: choose(&mut rng, &[512, 1_024]),
     }
 }
 
+/// List formats, from which that of a plan is chosen.
+const LIST_FORMATS: [ListFormat; 4] = [
+    ListFormat::Line,
+    ListFormat::Line,
+    ListFormat::Indented,
+    ListFormat::Torn,
+];
+
+/// What a plan consists of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PlanKind {
+    /// Faults only.
+    WithoutLoads,
+    /// Faults, and loads beside the usual clients.
+    WithLoads,
+    /// Loads only, among them clients that read nothing, and a shutdown.
+    Crowd,
+}
+
+/// Ratio of plans with loads, of those with few caches.
+const LOADS_RATIO: f64 = 0.7;
+/// Each seed that this number divides has a crowd, if there are few caches.
+const CROWD_SEED_DIVISOR: u64 = 4;
+
+impl PlanKind {
+    fn choose(rng: &mut impl Rng, seed: u64, caches: usize) -> Self {
+        let has_loads = rng.random::<f64>() < LOADS_RATIO;
+        if caches > LOAD_CACHES_MAX {
+            PlanKind::WithoutLoads
+        } else if seed.is_multiple_of(CROWD_SEED_DIVISOR) {
+            PlanKind::Crowd
+        } else if has_loads {
+            PlanKind::WithLoads
+        } else {
+            PlanKind::WithoutLoads
+        }
+    }
+
+    fn generate_events(
+        self,
+        rng: &mut impl Rng,
+        balancers: usize,
+        caches: usize,
+    ) -> Vec<(Nanos, SoakEvent)> {
+        let mut events = match self {
+            PlanKind::WithoutLoads => return generate_events(rng, balancers, caches),
+            PlanKind::WithLoads => generate_events(rng, balancers, caches),
+            PlanKind::Crowd => {
+                let shutdown = SoakEvent::Restart(rng.random_range(0..balancers));
+                let readers = Load {
+                    kind: LoadKind::UnreadLongValues,
+                    connections: CROWD_READERS,
+                    span: CROWD_SPAN,
+                };
+                let readers = SoakEvent::Load(rng.random_range(0..balancers), readers);
+                vec![(CROWD_START, readers), (CROWD_START + CROWD_SPAN, shutdown)]
+            }
+        };
+        events.extend(generate_loads(rng, balancers));
+        events.sort_by_key(|(at, _)| *at);
+        events
+    }
+}
+
+/// Number of clients of a crowd that read nothing.
+const CROWD_READERS: usize = 400;
+/// Time from the start of the timeline until the clients of a crowd arrive.
+const CROWD_START: Nanos = 1_000 * MS;
+/// Time for which they stay.
+const CROWD_SPAN: Nanos = 4_000 * MS;
+
 /// Maximum number of caches of a plan with loads: more caches take memory of their own.
 const LOAD_CACHES_MAX: usize = 400;
 
@@ -264,6 +322,7 @@
         capacity,
         second_copies: true,
         memory_mb: 64,
+        is_crowd: false,
         own_listeners: MAX_OWN_LISTENERS.min(caches / 2),
         ready_timeout: 6_000 * MS,
         duration: DURATION,
@@ -339,6 +398,7 @@
     plan.response_mix = ResponseMix::default();
     plan.descriptors_max = 512;
     plan.rules.memory_mb = 64;
+    plan.rules.is_crowd = false;
     plan.client_behavior.timeouts = [600 * MS, 1_000 * MS, 2_500 * MS];
     plan.rules.own_listeners = 0;
     plan.rules.duration = GROWTH_DURATION;
--- a/crates/testbed/src/soak/records.rs
+++ b/crates/testbed/src/soak/records.rs
@@ -223,6 +223,15 @@
     }
 }
 
+/// Load beside the usual clients of a balancer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct LoadRecord {
+    /// Time for which it stays.
+    pub span: TimeSpan,
+    /// Whether its clients occupy connections to caches, as they read nothing.
+    pub occupies_caches: bool,
+}
+
 /// Life cycle of one process of a balancer.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct ProcessRecord {
@@ -261,8 +270,8 @@
     /// Spans in which the trial stalled a process, by balancer.
     #[serde(rename = "stops")]
     pub stalls: Vec<Vec<TimeSpan>>,
-    /// Spans of loads beside the usual clients, by balancer.
-    pub loads: Vec<Vec<TimeSpan>>,
+    /// Loads beside the usual clients, by balancer.
+    pub loads: Vec<Vec<LoadRecord>>,
     /// Processes, by balancer.
     #[serde(rename = "lives")]
     pub processes: Vec<Vec<ProcessRecord>>,
--- a/crates/testbed/src/soak/rule_checker.rs
+++ b/crates/testbed/src/soak/rule_checker.rs
@@ -7,8 +7,8 @@
 
 use super::plan::CheckedRules;
 use super::records::{
-    AttemptEnd, AttemptRecord, CacheState, MS, Nanos, ProcessRecord, Records, RequestEnd,
-    RequestKind, RequestRecord,
+    AttemptEnd, AttemptRecord, CacheState, LoadRecord, MS, Nanos, ProcessRecord, Records,
+    RequestEnd, RequestKind, RequestRecord,
 };
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -32,6 +32,10 @@
 /// Time after a shutdown request within which a request must have been sent for a kill to excuse
 /// its missing answer. Later requests must be answered even if the process is killed.
 const KILL_EXCUSE_DURATION: Nanos = 700 * MS;
+/// Time from the start of clients that read nothing until they occupy connections to caches.
+const STARVATION_BEGINS: Nanos = 1_000 * MS;
+/// Minimum number of requests for a ratio of rejections.
+const STARVATION_REQUESTS_MIN: usize = 10;
 /// Ratio of the requests at an overloaded cold cache that must come from notified balancers for the
 /// overload to be a violation.
 const MIN_NOTIFIED_RATIO: f64 = 2.0 / 3.0;
@@ -40,7 +44,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct RuleViolation {
     /// Name of the rule: `lost`, `cutoff`, `duplicate`, `drain`, `former`, `failback`, `crash`,
-    /// `memory` or `ready`.
+    /// `memory`, `starved` or `ready`.
     pub rule: &'static str,
     /// Time of the violation.
     pub at: Nanos,
@@ -80,6 +84,9 @@
     violations.extend(check_drains(records, rules, &requests));
     violations.extend(check_slow_start(records, rules, &requests));
     violations.extend(check_processes(records, rules));
+    if rules.is_crowd {
+        violations.extend(check_starvation(records));
+    }
     violations.sort_by_key(|violation| violation.at);
     violations
 }
@@ -510,6 +517,33 @@
     violations
 }
 
+/// Checks that clients that read nothing do not have most requests of the others rejected.
+fn check_starvation(records: &Records) -> Vec<RuleViolation> {
+    let loads = records.loads.iter().enumerate();
+    let loads = loads.flat_map(|(balancer, loads)| loads.iter().map(move |load| (balancer, load)));
+    let is_starved = |(balancer, load): &(usize, &LoadRecord)| {
+        let affected = load.span.from + STARVATION_BEGINS..load.span.to;
+        let requests = records.requests.iter().filter(|request| {
+            request.balancer == *balancer
+                && affected.contains(&request.sent)
+                && !request.first_on_connection
+        });
+        let (rejected, others): (Vec<_>, Vec<_>) =
+            requests.partition(|request| request.end == RequestEnd::Refused);
+        rejected.len() + others.len() >= STARVATION_REQUESTS_MIN && rejected.len() > others.len()
+    };
+    let starved = loads
+        .filter(|(_, load)| load.occupies_caches)
+        .filter(is_starved);
+    starved
+        .map(|(balancer, load)| RuleViolation {
+            rule: "starved",
+            at: load.span.to,
+            detail: format!("n{balancer} rejected most requests while clients read nothing"),
+        })
+        .collect()
+}
+
 /// Returns the number of requests by [`RequestEnd`].
 #[must_use]
 pub fn count_by_end(requests: &[RequestRecord]) -> BTreeMap<String, usize> {
--- a/crates/testbed/src/soak/rule_checker/responses.rs
+++ b/crates/testbed/src/soak/rule_checker/responses.rs
@@ -26,20 +26,15 @@
 /// Returns the earliest deadline that the balancer may count with: a request behind others arrives
 /// when it is sent, and the first one on a connection may have arrived with the connection.
 fn own_deadline(records: &Records, request: &RequestRecord) -> Nanos {
-    let covering = |spans: Option<&Vec<TimeSpan>>, at: Nanos| {
-        let mut spans = spans.into_iter().flatten();
-        spans
-            .find(|span| span.from <= at && at < span.to + RECORD_SLACK)
-            .copied()
-    };
+    let covers = |span: &TimeSpan, at: Nanos| span.from <= at && at < span.to + RECORD_SLACK;
     let arrived = request.connected.unwrap_or(request.sent);
     // While clients wait to be accepted, a balancer does not know since when each of them has.
-    let load = covering(records.loads.get(request.balancer), arrived);
-    let waiting = load
-        .filter(|_| request.connected.is_some())
-        .map_or(0, |load| (arrived - load.from).min(BACKLOG_WAIT_MAX));
+    let mut loads = records.loads.get(request.balancer).into_iter().flatten();
+    let load = loads.find(|load| request.connected.is_some() && covers(&load.span, arrived));
+    let waiting = load.map_or(0, |load| (arrived - load.span.from).min(BACKLOG_WAIT_MAX));
     // What arrives during a stall may have arrived at its start.
-    let stall = covering(records.stalls.get(request.balancer), arrived);
+    let mut stalls = records.stalls.get(request.balancer).into_iter().flatten();
+    let stall = stalls.find(|stall| covers(stall, arrived));
     let stalled = stall.map_or(0, |stall| arrived - stall.from);
     arrived + request.timeout.saturating_sub(waiting.max(stalled))
 }
--- a/crates/testbed/src/soak/run.rs
+++ b/crates/testbed/src/soak/run.rs
@@ -7,7 +7,7 @@
 use super::discovery::{DiscoveryFault, DiscoveryService};
 use super::injection::DeferredEvent;
 use super::plan::{SHARED_LISTENERS, SoakPlan};
-use super::records::{CacheState, MS, Nanos, Records, RequestRecord, TimeSpan};
+use super::records::{CacheState, LoadRecord, MS, Nanos, Records, RequestRecord};
 use super::rule_checker;
 use crate::cluster::LoopbackNetwork;
 use crate::error::TestbedError;
@@ -54,8 +54,8 @@
     pub(super) deferred: Vec<(Nanos, DeferredEvent)>,
     pub(super) threads: Vec<std::thread::JoinHandle<()>>,
     pub(super) events: Vec<(Nanos, String)>,
-    /// Spans of loads, by balancer.
-    pub(super) loads: Vec<Vec<TimeSpan>>,
+    /// Loads, by balancer.
+    pub(super) loads: Vec<Vec<LoadRecord>>,
     /// Maximum number of open descriptors seen, by balancer.
     pub(super) descriptors: Vec<usize>,
 }
