--- a/crates/testbed/src/soak/clients.rs
+++ b/crates/testbed/src/soak/clients.rs
@@ -255,16 +255,16 @@
                 command: std::mem::take(&mut client.command),
             });
         }
+        let mut is_behind_truncated = false;
         for request in client.open {
             let record = &mut self.requests[request];
-            (record.end, record.ended) = (
-                if disconnects {
-                    RequestEnd::Left
-                } else {
-                    RequestEnd::Never
-                },
-                closed,
-            );
+            record.end = match disconnects {
+                true => RequestEnd::Left,
+                false if is_behind_truncated => RequestEnd::BehindTruncated,
+                false => RequestEnd::Never,
+            };
+            record.ended = closed;
+            is_behind_truncated |= record.streamed_since.is_some();
             record.closed = Some(closed);
         }
     }
