--- a/crates/testbed/src/soak.rs
+++ b/crates/testbed/src/soak.rs
@@ -15,6 +15,7 @@
 pub mod responses;
 pub mod rule_checker;
 mod run;
+pub mod theme;
 
 use crate::error::TestbedError;
 use balancers::ProcessUsage;
--- a/crates/testbed/src/soak/plan.rs
+++ b/crates/testbed/src/soak/plan.rs
@@ -6,6 +6,7 @@
 use super::load::{LONG_KEYS, Load, LoadKind, SPAN_RANGE};
 use super::records::{MS, Nanos, RequestKind};
 use super::responses::ResponseMix;
+use super::theme::Theme;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use serde_json::{Value, json};
@@ -157,14 +158,8 @@
     } else {
         choose(&mut rng, &[2, 3, 5, 8, 16, 40])
     };
-    let caches = choose(
-        &mut rng,
-        if short {
-            &[10, 10, 60, 400, 3_200]
-        } else {
-            &[10, 40, 200, 800, 1_300, 3_200]
-        },
-    );
+    let theme = Theme::of_seed(seed);
+    let caches = choose(&mut rng, theme.cache_counts(short));
     let requests_per_s = if balancers > 8 {
         8.0
     } else {
@@ -182,13 +177,15 @@
         caches,
     );
     rules.second_copies = rng.random::<f64>() < 0.8;
-    let kind = PlanKind::choose(&mut rng, seed, caches);
-    if kind != PlanKind::WithoutLoads {
-        rules.memory_mb = choose(&mut rng, &[32, 64]);
+    if theme.has_loads() {
+        rules.memory_mb = 32;
     }
-    rules.is_crowd = kind == PlanKind::Crowd;
+    rules.is_crowd = theme == Theme::Crowd;
     let settings = generate_settings(&mut rng, balancers, &timeouts, &rules);
-    let client_behavior = generate_client_behavior(&mut rng, requests_per_s, timeouts);
+    let client_behavior = ClientBehavior {
+        large_writes: choose(&mut rng, theme.large_writes()),
+        ..generate_client_behavior(&mut rng, requests_per_s, timeouts)
+    };
     SoakPlan {
         seed,
         balancers,
@@ -197,9 +194,9 @@
         rules,
         client_behavior,
         list_format: choose(&mut rng, &LIST_FORMATS),
-        events: kind.generate_events(&mut rng, balancers, caches),
+        events: generate_all_events(&mut rng, theme, balancers, caches),
         response_mix: generate_response_mix(&mut rng),
-        descriptors_max: choose(&mut rng, &[512, 1_024]),
+        descriptors_max: 512,
     }
 }
 
@@ -211,72 +208,27 @@
     ListFormat::Torn,
 ];
 
-/// What a plan consists of.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum PlanKind {
-    /// Faults only.
-    WithoutLoads,
-    /// Faults, and loads beside the usual clients.
-    WithLoads,
-    /// Loads only, among them clients that read nothing, and a shutdown.
-    Crowd,
-}
-
-/// Ratio of plans with loads, of those with few caches.
-const LOADS_RATIO: f64 = 0.7;
-/// Each seed that this number divides has a crowd, if there are few caches.
-const CROWD_SEED_DIVISOR: u64 = 4;
+/// Ratio of plans with loads at random times, of those of a theme with loads.
+const RANDOM_LOADS_RATIO: f64 = 0.5;
 
-impl PlanKind {
-    fn choose(rng: &mut impl Rng, seed: u64, caches: usize) -> Self {
-        let has_loads = rng.random::<f64>() < LOADS_RATIO;
-        if caches > LOAD_CACHES_MAX {
-            PlanKind::WithoutLoads
-        } else if seed.is_multiple_of(CROWD_SEED_DIVISOR) {
-            PlanKind::Crowd
-        } else if has_loads {
-            PlanKind::WithLoads
-        } else {
-            PlanKind::WithoutLoads
-        }
+/// Generates the events of a plan: those of its theme, and random faults and loads.
+fn generate_all_events(
+    rng: &mut impl Rng,
+    theme: Theme,
+    balancers: usize,
+    caches: usize,
+) -> Vec<(Nanos, SoakEvent)> {
+    let mut events = theme.events(rng, balancers);
+    if theme != Theme::Crowd {
+        events.extend(generate_events(rng, balancers, caches));
     }
-
-    fn generate_events(
-        self,
-        rng: &mut impl Rng,
-        balancers: usize,
-        caches: usize,
-    ) -> Vec<(Nanos, SoakEvent)> {
-        let mut events = match self {
-            PlanKind::WithoutLoads => return generate_events(rng, balancers, caches),
-            PlanKind::WithLoads => generate_events(rng, balancers, caches),
-            PlanKind::Crowd => {
-                let shutdown = SoakEvent::Restart(rng.random_range(0..balancers));
-                let readers = Load {
-                    kind: LoadKind::UnreadLongValues,
-                    connections: CROWD_READERS,
-                    span: CROWD_SPAN,
-                };
-                let readers = SoakEvent::Load(rng.random_range(0..balancers), readers);
-                vec![(CROWD_START, readers), (CROWD_START + CROWD_SPAN, shutdown)]
-            }
-        };
+    if theme.has_loads() && rng.random::<f64>() < RANDOM_LOADS_RATIO {
         events.extend(generate_loads(rng, balancers));
-        events.sort_by_key(|(at, _)| *at);
-        events
     }
+    events.sort_by_key(|(at, _)| *at);
+    events
 }
 
-/// Number of clients of a crowd that read nothing.
-const CROWD_READERS: usize = 400;
-/// Time from the start of the timeline until the clients of a crowd arrive.
-const CROWD_START: Nanos = 1_000 * MS;
-/// Time for which they stay.
-const CROWD_SPAN: Nanos = 4_000 * MS;
-
-/// Maximum number of caches of a plan with loads: more caches take memory of their own.
-const LOAD_CACHES_MAX: usize = 400;
-
 /// Generates two loads.
 fn generate_loads(rng: &mut impl Rng, balancers: usize) -> Vec<(Nanos, SoakEvent)> {
     let mut loads = Vec::new();
@@ -341,7 +293,7 @@
         pipeline: choose(rng, &UNUSUAL_RATIOS) / 3.0,
         slow: choose(rng, &UNUSUAL_RATIOS),
         incomplete: choose(rng, &UNUSUAL_RATIOS) / 5.0,
-        large_writes: choose(rng, &[0.0, 0.2, 0.5]),
+        large_writes: 0.0,
         repeat: 0.7,
     }
 }
