--- a/crates/testbed/src/soak/clients.rs
+++ b/crates/testbed/src/soak/clients.rs
@@ -203,10 +203,12 @@
         let Some(client) = self.clients.remove(&number) else {
             return;
         };
+        let incomplete = client.second_half.map(|(_, _, request)| request);
         let mut is_behind_truncated = false;
         for request in client.open {
             let record = &mut self.requests[request];
             record.end = match state {
+                _ if incomplete == Some(request) => RequestEnd::Incomplete,
                 _ if is_behind_truncated => RequestEnd::BehindTruncated,
                 _ if record.streamed_since.is_some() => RequestEnd::Truncated,
                 ConnectionState::Ended => RequestEnd::Closed,
--- a/crates/testbed/src/soak/plan.rs
+++ b/crates/testbed/src/soak/plan.rs
@@ -222,7 +222,8 @@
     if theme != Theme::Crowd {
         events.extend(generate_events(rng, balancers, caches));
     }
-    if theme.has_loads() && rng.random::<f64>() < RANDOM_LOADS_RATIO {
+    let may_have_others = theme.has_loads() && theme != Theme::Crowd;
+    if may_have_others && rng.random::<f64>() < RANDOM_LOADS_RATIO {
         events.extend(generate_loads(rng, balancers));
     }
     events.sort_by_key(|(at, _)| *at);
--- a/crates/testbed/src/soak/records.rs
+++ b/crates/testbed/src/soak/records.rs
@@ -58,6 +58,8 @@
     /// The connection ended in the middle of the streamed value of an earlier request. There is no
     /// other way to tell that client that its value is incomplete.
     BehindTruncated,
+    /// The connection ended before the command was complete, so the balancer has not taken it.
+    Incomplete,
     /// The client disconnected before an answer.
     Left,
     /// No answer until the client closed the connection, some seconds after the deadline.
--- a/crates/testbed/src/soak/rule_checker/responses.rs
+++ b/crates/testbed/src/soak/rule_checker/responses.rs
@@ -126,7 +126,8 @@
         let begun = response
             .begun
             .filter(|_| response.is_long && !response.is_spoilt);
-        begun.is_some_and(|begun| begun + HEAD_MARGIN <= deadline)
+        let is_in_time = |begun| begun + HEAD_MARGIN <= deadline && begun < answered_at(request);
+        begun.is_some_and(is_in_time)
     };
     attempts.iter().find(has_begun_in_time)?;
     let is_any_spoilt = attempts.iter().any(|attempt| attempt.response.is_spoilt);
--- a/crates/testbed/src/soak/theme.rs
+++ b/crates/testbed/src/soak/theme.rs
@@ -95,11 +95,13 @@
                 .map(|number| (2 * number * second, SoakEvent::Restarted(all_caches)))
                 .collect(),
             Theme::Crowd => {
-                let readers = load(LoadKind::UnreadLongValues, 400, 4 * second);
-                let half_written = load(LoadKind::HalfWritten, 300, LOAD_SPAN);
+                // The first crowd needs more connections to caches than there are, the second one
+                // more client connections.
+                let readers = load(LoadKind::UnreadLongValues, 200, 3 * second);
+                let half_written = load(LoadKind::HalfWritten, 500, second);
                 vec![
                     (START, readers),
-                    (START + second, half_written),
+                    (START + 3 * second, half_written),
                     (6 * second, SoakEvent::Restart(0)),
                 ]
             }
