--- a/crates/testbed/src/soak/caches.rs
+++ b/crates/testbed/src/soak/caches.rs
@@ -365,8 +365,12 @@
             return;
         }
         record.end = AttemptEnd::Ran;
-        let answer: Vec<u8> = parts.iter().flat_map(|part| part.bytes.clone()).collect();
-        record.response.is_long = answer.len() >= STREAMED_LENGTH;
+        let length: usize = parts.iter().map(|part| part.bytes.len()).sum();
+        record.response.is_long = length >= STREAMED_LENGTH;
+        let whole = || -> Vec<u8> {
+            let parts: Vec<&[u8]> = parts.iter().map(|part| part.bytes.as_slice()).collect();
+            parts.concat()
+        };
         if selects(faults.error) {
             record.response.is_spoilt = true;
             due(at, b"-ERR failed\r\n".to_vec(), AfterPart::KeepOpen);
@@ -375,15 +379,17 @@
             due(at, Vec::new(), AfterPart::Reset);
         } else if selects(faults.truncated) {
             record.response.is_spoilt = true;
-            due(at, answer[..answer.len() / 2].to_vec(), AfterPart::KeepOpen);
+            let mut half = whole();
+            half.truncate(length / 2);
+            due(at, half, AfterPart::KeepOpen);
         } else if selects(faults.answered_twice) {
             record.response.is_spoilt = true;
-            due(at, answer.clone(), AfterPart::KeepOpen);
-            due(at + 3 * MS, answer, AfterPart::KeepOpen);
+            due(at, whole(), AfterPart::KeepOpen);
+            due(at + 3 * MS, whole(), AfterPart::KeepOpen);
         } else if selects(faults.close) {
             // The close drops what the balancer has not accepted yet.
             record.response.is_spoilt = record.response.is_long;
-            due(at, answer, AfterPart::Close);
+            due(at, whole(), AfterPart::Close);
         } else {
             let (mut at, last) = (at, parts.len() - 1);
             for (number, part) in parts.into_iter().enumerate() {
--- a/crates/testbed/src/soak/connections.rs
+++ b/crates/testbed/src/soak/connections.rs
@@ -65,6 +65,8 @@
     /// Received bytes that are not processed yet.
     pub input: Vec<u8>,
     output: Vec<u8>,
+    /// Number of bytes of the output that are written.
+    written: usize,
 }
 
 impl Connection {
@@ -80,6 +82,7 @@
             stream,
             input: Vec::new(),
             output: Vec::new(),
+            written: 0,
         })
     }
 
@@ -128,13 +131,14 @@
 
     /// Writes the remaining bytes. Returns whether all are written.
     pub fn flush(&mut self) -> bool {
-        while !self.output.is_empty() {
-            match self.stream.write(&self.output) {
-                Ok(n) => drop(self.output.drain(..n)),
+        while self.written < self.output.len() {
+            match self.stream.write(&self.output[self.written..]) {
+                Ok(n) => self.written += n,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(_) => return false,
             }
         }
+        (self.output, self.written) = (Vec::new(), 0);
         true
     }
 
--- a/crates/testbed/src/soak/load.rs
+++ b/crates/testbed/src/soak/load.rs
@@ -52,7 +52,7 @@
     /// Returns the next bytes of a client; `number` differs for each call.
     fn commands(self, number: u64) -> Vec<u8> {
         let id = format!("load{number:x}");
-        let key = format!("{:016x}", number % LONG_KEYS);
+        let key = format!("{:016x}", number % HUGE_KEYS);
         let read = |fields: &str| {
             let words = [b"C.GET", key.as_bytes(), id.as_bytes(), fields.as_bytes()];
             encode_command(&words)
@@ -97,8 +97,10 @@
 
 /// Number of commands that a flood sends at a time.
 const FLOOD_BATCH: usize = 100;
-/// Number of keys with long values in plans with a load.
+/// Number of keys with long values.
 pub const LONG_KEYS: u64 = 40;
+/// Number of keys with values that socket buffers do not hold, in plans with a crowd.
+pub const HUGE_KEYS: u64 = 8;
 /// Pause between two rounds of a flood over its connections.
 const ROUND_PAUSE: Duration = Duration::from_micros(200);
 /// Receive buffer of a client that does not read, in bytes.
--- a/crates/testbed/src/soak/plan.rs
+++ b/crates/testbed/src/soak/plan.rs
@@ -3,7 +3,7 @@
 
 use super::clients::ClientBehavior;
 use super::discovery::ListFormat;
-use super::load::{LONG_KEYS, Load, LoadKind, SPAN_RANGE};
+use super::load::{HUGE_KEYS, LONG_KEYS, Load, LoadKind, SPAN_RANGE};
 use super::records::{MS, Nanos, RequestKind};
 use super::responses::ResponseMix;
 use super::theme::Theme;
@@ -195,7 +195,7 @@
         client_behavior,
         list_format: choose(&mut rng, &LIST_FORMATS),
         events: generate_all_events(&mut rng, theme, balancers, caches),
-        response_mix: generate_response_mix(&mut rng),
+        response_mix: generate_response_mix(&mut rng, theme),
         descriptors_max: 512,
     }
 }
@@ -251,10 +251,11 @@
     loads
 }
 
-fn generate_response_mix(rng: &mut impl Rng) -> ResponseMix {
+fn generate_response_mix(rng: &mut impl Rng, theme: Theme) -> ResponseMix {
     let is_unusual = rng.random::<f64>() < 0.7;
     let ratio = if is_unusual { 0.25 } else { 0.0 };
     ResponseMix {
+        huge_keys: if theme == Theme::Crowd { HUGE_KEYS } else { 0 },
         long_keys: LONG_KEYS,
         late_body: ratio,
         in_parts: ratio / 2.0,
--- a/crates/testbed/src/soak/responses.rs
+++ b/crates/testbed/src/soak/responses.rs
@@ -5,6 +5,8 @@
 
 /// Length of a long value, which balancers stream.
 pub const LONG_LENGTH: usize = 164_511;
+/// Length of a value that socket buffers do not hold.
+const HUGE_LENGTH: usize = 1 << 20;
 /// Minimum length of a value of which the first bytes are timed instead of the last.
 pub const STREAMED_LENGTH: usize = 65_537;
 /// Length of a value that is written in parts and not streamed.
@@ -25,6 +27,8 @@
 /// Ratios of unusual responses.
 #[derive(Clone, Debug, Default)]
 pub struct ResponseMix {
+    /// Number of keys with a value that socket buffers do not hold, from key 0.
+    pub huge_keys: u64,
     /// Number of keys with a long value, from key 0.
     pub long_keys: u64,
     /// Ratio of long responses whose value comes some time after their head.
@@ -59,13 +63,14 @@
     let random = rng.random::<f64>();
     let in_parts = random < mix.in_parts;
     let has_late_body = !in_parts && random < mix.in_parts + mix.late_body;
-    if key.is_some_and(|key| key < mix.long_keys) {
-        let (head, body) = encode(text, LONG_LENGTH);
+    if let Some(key) = key.filter(|key| *key < mix.long_keys) {
+        let is_huge = key < mix.huge_keys;
+        let (head, body) = encode(text, if is_huge { HUGE_LENGTH } else { LONG_LENGTH });
         let late = rng.random_range(LATE_BODY_MS) * MS;
         return match (in_parts, has_late_body) {
             (true, _) => split([head, body].concat(), LONG_PARTS, LONG_PART_LENGTH),
             (_, true) => vec![part(0, head), part(late, body)],
-            _ => vec![part(0, [head, body].concat())],
+            _ => vec![part(0, head), part(0, body)],
         };
     }
     let length = if in_parts { PADDED_LENGTH } else { text.len() };
