--- a/crates/testbed/src/soak/rule_checker/responses.rs
+++ b/crates/testbed/src/soak/rule_checker/responses.rs
@@ -110,7 +110,9 @@
     let has_left = request
         .closed
         .is_some_and(|closed| closed <= at + RECORD_SLACK);
-    !attempt.response.is_spoilt && is_before_deadline && !is_replaced && !has_left
+    // A cache that reads slowly detects late that its connection was closed, maybe before it answered.
+    let is_known = !attempt.response.is_spoilt && !attempt.is_read_slowly;
+    is_known && is_before_deadline && !is_replaced && !has_left
 }
 
 /// Checks that a long value that has begun in time reaches the client: its first bytes in time, and
@@ -123,9 +125,8 @@
     let deadline = own_deadline(records, request);
     let has_begun_in_time = |attempt: &&&AttemptRecord| {
         let response = &attempt.response;
-        let begun = response
-            .begun
-            .filter(|_| response.is_long && !response.is_spoilt);
+        let is_known = !response.is_spoilt && !attempt.is_read_slowly;
+        let begun = response.begun.filter(|_| response.is_long && is_known);
         let is_in_time = |begun| begun + HEAD_MARGIN <= deadline && begun < answered_at(request);
         begun.is_some_and(is_in_time)
     };
