--- a/crates/balancer/src/forwarded_ids.rs
+++ b/crates/balancer/src/forwarded_ids.rs
@@ -50,7 +50,7 @@
             files,
             own: own_slot,
         });
-        self.read_files(0..2);
+        self.read_files();
         Ok(())
     }
 
@@ -63,7 +63,7 @@
 
     /// Returns whether a request with this id has been forwarded, by this process or the other one.
     pub fn contains(&mut self, id: &[u8]) -> bool {
-        self.read_files(0..2);
+        self.read_files();
         self.occurrences.contains_key(&xxh3_128(id))
     }
 
@@ -100,17 +100,17 @@
     }
 
     /// Reads the ids that other processes have added to their files.
-    fn read_files(&mut self, slots: std::ops::Range<usize>) {
-        let Some(mut shared) = self.files.take() else {
+    fn read_files(&mut self) {
+        let Some(shared) = &mut self.files else {
             return;
         };
-        for slot in slots {
-            let Ok(added) = shared.files[slot].read_added() else {
-                continue;
-            };
-            added.into_iter().for_each(|hash| self.remember(hash));
-        }
-        self.files = Some(shared);
+        // A file that can't be read now is read by the next call.
+        let files = shared.files.iter_mut();
+        let added: Vec<IdHash> = files
+            .filter_map(|file| file.read_added().ok())
+            .flatten()
+            .collect();
+        added.into_iter().for_each(|hash| self.remember(hash));
     }
 
     fn remember(&mut self, hash: IdHash) {
--- a/crates/balancer/src/listener/resp/connection_admission.rs
+++ b/crates/balancer/src/listener/resp/connection_admission.rs
@@ -42,7 +42,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Admission {
     Regular,
-    /// Its commands are rejected, and its connection is then closed.
+    /// Its commands are rejected, and its connection is closed when others need its place.
     Overflow,
     /// It waits in the backlog.
     Wait,
