--- a/review/harness-2.rs
+++ b/review/harness-2.rs
@@ -19,6 +19,9 @@
 /// Interval of the empty lines that a watch gets while nothing changes.
 const WATCH_LINE_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Time after which discovery closes the connections at an address that it has left.
+const MOVED_CLOSE_AFTER: Duration = Duration::from_millis(1_500);
+
 /// Exit status if the rule held.
 pub const HELD: u8 = 0;
 /// Exit status if the rule was broken.
@@ -221,6 +224,8 @@
         let start = STARTS.fetch_add(1, Ordering::Relaxed);
         let log = case.folder.join(format!("log-{start}.txt"));
         let output = File::create(&log).expect("the log can be written");
+        let temporary = case.folder.join("tmp");
+        std::fs::create_dir_all(&temporary).expect("a folder can be created");
         let mut command = Command::new("/bin/sh");
         command
             .args(["-c", &run_command()])
@@ -228,7 +233,7 @@
             .env("GW_CONFIG", path)
             .env("GW_LISTEN", config.listen.to_string())
             .env("GW_DISCOVERY", config.discovery.to_string())
-            .env("TMPDIR", &case.folder)
+            .env("TMPDIR", &temporary)
             .env_remove("RUST_LOG")
             .stdin(Stdio::null())
             .stdout(output.try_clone().expect("the log can be shared"))
@@ -373,6 +378,10 @@
     pub address: SocketAddr,
     state: Arc<(Mutex<DiscoveryState>, Condvar)>,
     record: Record,
+    /// Set once discovery has moved to another address.
+    moved: Flag,
+    /// Connections that are open.
+    streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Discovery {
@@ -382,18 +391,36 @@
             address: listener.local_addr().expect("the port is known"),
             state: Arc::default(),
             record: record.clone(),
+            moved: Flag::default(),
+            streams: Arc::default(),
         };
         lock(&discovery.state.0).hosts = hosts;
         let serving = discovery.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
+                if serving.moved.is_set() {
+                    return;
+                }
                 let call = serving.clone();
+                lock(&serving.streams).extend(stream.try_clone());
                 std::thread::spawn(move || call.serve(stream));
             }
         });
         discovery
     }
 
+    /// Takes no new connection at this address, and closes the open ones after 1.5 s.
+    pub fn move_away(&self) {
+        self.moved.set();
+        let streams = self.streams.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(MOVED_CLOSE_AFTER);
+            for stream in lock(&streams).drain(..) {
+                let _ = stream.shutdown(std::net::Shutdown::Both);
+            }
+        });
+    }
+
     /// Changes the entry of a host, or adds one.
     pub fn change(&self, host: Host) {
         let mut state = lock(&self.state.0);
