Review case 9: a client with the id of an open request is served

The id of a request counts as open until its tile cache has answered. While a long value is passed on, or an answer waits for an earlier one, another client that sends this id is served in place of getting an error.

--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -1,29 +1,34 @@
-//! During an upgrade a client that sends the id of another client's open request is served by the
-//! new process, although it is owed an error.
+//! A client that sends the id of another client's open request is served, although it is owed an
+//! error, if the answer to the open request has come from its tile cache and has not reached its
+//! client.
 
 #[path = "../harness-2.rs"]
 mod harness;
 
 use harness::{
-    Balancer, Case, Client, Config, Discovery, Host, Reply, SIGTERM, encode, free_address,
-    make_inheritable, run, served, sleep_ms, start_cache, wait_healthy,
+    Balancer, CacheCommand, Case, Client, Config, Discovery, Host, Reply, encode, run, served,
+    sleep_ms, start_cache,
 };
 use std::io::Write;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::os::fd::AsRawFd;
-use std::path::Path;
+use std::net::{SocketAddr, TcpStream};
 use std::process::ExitCode;
 use std::time::Duration;
 
-/// Time that a tile cache needs for the read of the usual client: it fetches the tile from the slow
-/// map store. The client waits 600 ms.
-const FETCH_MS: u64 = 400;
-/// Key of the tile that has to be fetched.
-const SLOW_KEY: &str = "7f3a9c21e0b4d651";
-/// Key that the bad client names.
-const OTHER_KEY: &str = "7f3a9c21e0b4d652";
-/// Number of rounds, each with an open request and a bad client.
-const ROUNDS: usize = 3;
+/// Key of a long value, which its tile cache gives in two pieces.
+const LONG_KEY: &str = "7f3a9c21e0b4d651";
+const LONG_VALUE_LENGTH: usize = 256 * 1024;
+const FIRST_PIECE_LENGTH: usize = 64 * 1024;
+const PIECE_PAUSE_MS: u64 = 400;
+/// Key of a tile that has to be fetched from the slow map store.
+const SLOW_KEY: &str = "7f3a9c21e0b4d652";
+const FETCH_MS: u64 = 250;
+/// Key of a tile that its cache has.
+const CACHED_KEY: &str = "7f3a9c21e0b4d653";
+const HIT_MS: u64 = 20;
+/// Time between the open request and the request of the second client.
+const SECOND_CLIENT_AFTER_MS: u64 = 120;
+/// Number of rounds with a long value, and with two commands at once.
+const ROUNDS: usize = 2;
 
 fn main() -> ExitCode {
     run(check)
@@ -32,11 +37,24 @@
 fn check(case: &Case) -> u8 {
     let hosts = (1..=3).map(|number| start_host(case, number)).collect();
     let discovery = Discovery::start(&case.record, hosts);
-    let served_count: usize = (0..ROUNDS)
-        .map(|round| usize::from(play_round(case, discovery.address, round)))
-        .sum();
+    let config = Config::new(discovery.address);
+    let path = case.folder.join("config.json");
+    let mut balancer = Balancer::start(case, &config, &path, &[]);
+    balancer.wait_ready();
+    let mut served_count = 0;
+    for round in 0..ROUNDS {
+        let long_id = format!("9b1f03aa5c7e2d1{round}");
+        let keys = [LONG_KEY];
+        served_count += usize::from(play(case, balancer.listen, &keys, &[&long_id]));
+        let slow_id = format!("9b1f03aa5c7e2d2{round}");
+        let cached_id = format!("9b1f03aa5c7e2d3{round}");
+        let keys = [SLOW_KEY, CACHED_KEY];
+        let ids = [slow_id.as_str(), cached_id.as_str()];
+        served_count += usize::from(play(case, balancer.listen, &keys, &ids));
+    }
     case.record.add(format!(
-        "{served_count} of {ROUNDS} requests with the id of an open request were served"
+        "{served_count} of {} requests with the id of an open request were served",
+        2 * ROUNDS
     ));
     if served_count > 0 {
         harness::BROKEN
@@ -53,69 +71,69 @@
             "tile cache {number} runs {} for {key}",
             command.id()
         ));
-        sleep_ms(if key == SLOW_KEY { FETCH_MS } else { 20 });
-        stream.write_all(&served(key.as_bytes())).ok()
+        answer(command, stream)
     });
     Host::new(&format!("s-{number}"), dial)
 }
 
-/// Starts a balancer, opens a request, upgrades the balancer, and has another client send the id of
-/// the open request. Returns whether that client was served.
-fn play_round(case: &Case, discovery: SocketAddr, round: usize) -> bool {
-    let socket = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port is free");
-    make_inheritable(socket.as_raw_fd());
-    let mut config = Config::new(discovery);
-    config.listen = socket.local_addr().expect("the port is known");
-    let folder = case.folder.join(format!("tmp-{round}"));
-    std::fs::create_dir_all(&folder).expect("a folder can be created");
-    let start = || start_process(case, &config, &folder, socket.as_raw_fd());
-    let old = start();
-    let mut client = Client::connect(config.listen);
-    client.send(&[b"PING"]);
-    let _ = client.reply(Duration::from_secs(1));
-    let new = case.trouble.then(start);
-    let id = format!("9b1f03aa5c7e2d4{round}");
-    send_read(&mut client, SLOW_KEY, &id);
-    case.record
-        .add(format!("client 1 sends {id} on its open connection"));
-    sleep_ms(20);
-    if new.is_some() {
-        old.signal(SIGTERM);
-        case.record.add(format!("SIGTERM to {}", old.id()));
-        sleep_ms(50);
+fn answer(command: &CacheCommand, stream: &mut TcpStream) -> Option<()> {
+    match command.word(1).as_str() {
+        LONG_KEY => {
+            let bytes = served(&vec![b'x'; LONG_VALUE_LENGTH]);
+            stream.write_all(&bytes[..FIRST_PIECE_LENGTH]).ok()?;
+            sleep_ms(PIECE_PAUSE_MS);
+            stream.write_all(&bytes[FIRST_PIECE_LENGTH..]).ok()
+        }
+        SLOW_KEY => {
+            sleep_ms(FETCH_MS);
+            stream.write_all(&served(b"fetched tile")).ok()
+        }
+        _ => {
+            sleep_ms(HIT_MS);
+            stream.write_all(&served(b"cached tile")).ok()
+        }
     }
-    let mut bad_client = Client::connect(config.listen);
-    send_read(&mut bad_client, OTHER_KEY, &id);
-    case.record.add(format!(
-        "client 2 sends {id} too, the id of the open request of client 1"
-    ));
-    let bad_reply = bad_client.reply(Duration::from_secs(3));
-    case.record.add(format!("answer to client 2: {bad_reply}"));
-    let reply = client.reply(Duration::from_secs(2));
-    case.record.add(format!("answer to client 1: {reply}"));
-    matches!(bad_reply, Reply::Value(_))
 }
 
-fn start_process(case: &Case, config: &Config, folder: &Path, descriptor: i32) -> Balancer {
-    let admin = free_address();
-    let variables = [
-        ("GW_SOCKET_FD", descriptor.to_string()),
-        ("GW_MANAGEMENT", admin.to_string()),
-        ("TMPDIR", folder.display().to_string()),
-    ];
-    let path = case.folder.join("config.json");
-    let process = Balancer::start(case, config, &path, &variables);
-    wait_healthy(admin);
+/// Has one client send reads at once, and another one the id of the last of them while that is open.
+/// Without the disruption the second client sends an id of its own. Returns whether the id of the
+/// open request was served to the second client.
+fn play(case: &Case, listen: SocketAddr, keys: &[&str], ids: &[&str]) -> bool {
+    let mut client = Client::connect(listen);
+    let commands = keys.iter().zip(ids).map(|(key, id)| read(key, id));
+    let commands: Vec<u8> = commands.flatten().collect();
+    client
+        .stream
+        .write_all(&commands)
+        .expect("the client can send");
     case.record
-        .add(format!("balancer {} is ready", process.id()));
-    process
+        .add(format!("client 1 sends {}", ids.join(" and ")));
+    sleep_ms(SECOND_CLIENT_AFTER_MS);
+    let open_id = ids.last().copied().unwrap_or_default();
+    let second_id = if case.trouble {
+        open_id.to_string()
+    } else {
+        format!("{open_id}0")
+    };
+    let mut second_client = Client::connect(listen);
+    second_client
+        .stream
+        .write_all(&read(CACHED_KEY, &second_id))
+        .expect("the client can send");
+    case.record
+        .add(format!("client 2 sends {second_id}; {open_id} is open"));
+    let second_reply = second_client.reply(Duration::from_secs(3));
+    case.record
+        .add(format!("answer to client 2: {second_reply}"));
+    for id in ids {
+        let reply = client.reply(Duration::from_secs(2));
+        case.record
+            .add(format!("answer to client 1, {id}: {reply}"));
+    }
+    second_id == open_id && matches!(second_reply, Reply::Value(_))
 }
 
-fn send_read(client: &mut Client, key: &str, id: &str) {
+fn read(key: &str, id: &str) -> Vec<u8> {
     let fields = b"c=tile-read,t=kvemo-tetri,d=600";
-    let command = encode(&[b"C.GET", key.as_bytes(), id.as_bytes(), fields]);
-    client
-        .stream
-        .write_all(&command)
-        .expect("the client can send");
+    encode(&[b"C.GET", key.as_bytes(), id.as_bytes(), fields])
 }
