--- a/review/harness-2.rs
+++ b/review/harness-2.rs
@@ -6,6 +6,7 @@
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitCode, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -38,7 +39,8 @@
 
 unsafe extern "C" {
     fn kill(process: i32, signal: i32) -> i32;
-    fn fcntl(descriptor: i32, command: i32, argument: i32) -> i32;
+    fn fcntl(descriptor: i32, command: i32, ...) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
 /// Locks a mutex, also after a panic of another thread.
@@ -241,6 +243,8 @@
         for (name, value) in variables {
             command.env(name, value);
         }
+        // SAFETY: the closure makes one system call and touches no memory of the parent.
+        unsafe { command.pre_exec(end_with_parent) };
         let child = command.spawn().expect("the balancer can be started");
         lock(&RUNNING).push(child.id());
         case.record.add(format!("balancer {} started", child.id()));
@@ -308,6 +312,14 @@
     }
 }
 
+/// Has the calling process killed when its parent ends, however that ends.
+fn end_with_parent() -> std::io::Result<()> {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    // SAFETY: sets an attribute of the calling process.
+    unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) };
+    Ok(())
+}
+
 /// Makes a descriptor inheritable by the processes that are started from now on.
 pub fn make_inheritable(descriptor: i32) {
     const F_SETFD: i32 = 2;
